--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"example.org/burlwharf/balance"
+	"cloverrock/balance"
 )
 
 // A router embeds the module: it tells what happens and carries out the actions.
--- a/cmd/cloverrock/main.go
+++ b/cmd/cloverrock/main.go
@@ -12,7 +12,7 @@
 
 	"github.com/rs/zerolog"
 
-	"example.org/burlwharf/internal/config"
+	"cloverrock/internal/config"
 )
 
 const usage = `usage: cloverrock [command]
--- a/cmd/cloverrock/server.go
+++ b/cmd/cloverrock/server.go
@@ -6,14 +6,14 @@
 
 	"github.com/rs/zerolog"
 
-	"example.org/burlwharf/balance"
-	"example.org/burlwharf/internal/backend"
-	"example.org/burlwharf/internal/config"
-	"example.org/burlwharf/internal/discovery"
-	"example.org/burlwharf/internal/frontend"
-	"example.org/burlwharf/internal/gateway"
-	"example.org/burlwharf/internal/loop"
-	"example.org/burlwharf/internal/peer"
+	"cloverrock/balance"
+	"cloverrock/internal/backend"
+	"cloverrock/internal/config"
+	"cloverrock/internal/discovery"
+	"cloverrock/internal/frontend"
+	"cloverrock/internal/gateway"
+	"cloverrock/internal/loop"
+	"cloverrock/internal/peer"
 )
 
 const (
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"example.org/burlwharf/balance"
-	"example.org/burlwharf/internal/wire"
+	"cloverrock/balance"
+	"cloverrock/internal/wire"
 )
 
 func main() {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -5,10 +5,10 @@
 import (
 	"github.com/rs/zerolog"
 
-	"example.org/burlwharf/balance"
-	"example.org/burlwharf/internal/gateway"
-	"example.org/burlwharf/internal/loop"
-	"example.org/burlwharf/internal/pgwire"
+	"cloverrock/balance"
+	"cloverrock/internal/gateway"
+	"cloverrock/internal/loop"
+	"cloverrock/internal/pgwire"
 )
 
 // Query is the body of a request: it appends itself as a message with the time that is left.
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,10 +3,10 @@
 import (
 	"strings"
 
-	"example.org/burlwharf/balance"
-	"example.org/burlwharf/internal/gateway"
-	"example.org/burlwharf/internal/loop"
-	"example.org/burlwharf/internal/pgwire"
+	"cloverrock/balance"
+	"cloverrock/internal/gateway"
+	"cloverrock/internal/loop"
+	"cloverrock/internal/pgwire"
 )
 
 // conn is one connection to a host. It carries one attempt at a time.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,11 +10,11 @@
 	"os"
 	"strconv"
 
-	"example.org/burlwharf/balance"
-	"example.org/burlwharf/internal/discovery"
-	"example.org/burlwharf/internal/frontend"
-	"example.org/burlwharf/internal/peer"
-	"example.org/burlwharf/internal/wire"
+	"cloverrock/balance"
+	"cloverrock/internal/discovery"
+	"cloverrock/internal/frontend"
+	"cloverrock/internal/peer"
+	"cloverrock/internal/wire"
 )
 
 // Config is what the program uses of its configuration. Times are microseconds.
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"slices"
 
-	"example.org/burlwharf/balance"
+	"cloverrock/balance"
 )
 
 // Names are the settings' lists of names; the decision module knows their indexes.
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -6,7 +6,7 @@
 
 	"github.com/rs/zerolog"
 
-	"example.org/burlwharf/internal/loop"
+	"cloverrock/internal/loop"
 )
 
 const (
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -8,9 +8,9 @@
 
 	"github.com/rs/zerolog"
 
-	"example.org/burlwharf/internal/gateway"
-	"example.org/burlwharf/internal/loop"
-	"example.org/burlwharf/internal/pgwire"
+	"cloverrock/internal/gateway"
+	"cloverrock/internal/loop"
+	"cloverrock/internal/pgwire"
 )
 
 const (
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,7 +6,7 @@
 import (
 	"github.com/rs/zerolog"
 
-	"example.org/burlwharf/balance"
+	"cloverrock/balance"
 )
 
 // Body is what a host is sent for a request. What it holds is between the frontend and the backend.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,7 +9,7 @@
 
 	"github.com/rs/zerolog"
 
-	"example.org/burlwharf/internal/loop"
+	"cloverrock/internal/loop"
 )
 
 // MaxMessage is the longest datagram that may be sent.
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -4,7 +4,7 @@
 	"math"
 	"slices"
 
-	"example.org/burlwharf/balance"
+	"cloverrock/balance"
 )
 
 // Options mirrors the settings object of a start message, which a real gateway finds in its configuration;
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"math"
 	"strconv"
 
-	"example.org/burlwharf/balance"
+	"cloverrock/balance"
 )
 
 // Codec holds what spans lines: interned host names, numbered lists, and scratch space.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"example.org/burlwharf/balance"
+	"cloverrock/balance"
 )
 
 func TestActions(t *testing.T) {
