--- /dev/null
+++ b/cmd/cloverrock/serve_test.go
@@ -0,0 +1,348 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"cloverrock/internal/config"
+	"cloverrock/internal/pgwire"
+)
+
+const (
+	readText  = "/* id=%d,c=lookup,d=%d,cluster=1 */ SELECT body FROM objects WHERE oid = 'k'"
+	writeText = "/* id=%d,c=change,d=%d,cluster=1 */ INSERT INTO objects VALUES ('k')"
+)
+
+func text(form string, id int) string { return fmt.Sprintf(form, id, 60000) }
+
+// The value comes back as the host gave it; statement and id go out unchanged, d as the time that is left.
+func TestPassesOn(t *testing.T) {
+	r := start(t, 0)
+	cl := r.connect()
+	cl.query(text(writeText, 41))
+	q := r.hosts[0].next()
+	head, rest, _ := strings.Cut(q.text, ",d=")
+	left, rest, _ := strings.Cut(rest, ",")
+	var wait int
+	if _, err := fmt.Sscan(left, &wait); err != nil || wait > 60000 || wait < 1 {
+		t.Errorf("d is %q", left)
+	}
+	if got := head + ",d=60000," + rest; got != text(writeText, 41) {
+		t.Errorf("the host got %q", q.text)
+	}
+	value := strings.Repeat("\x00\xff'v", 16<<10) // 64 KiB, more than a socket takes or gives at once
+	q.answer(value)
+	cl.want("value " + value)
+}
+
+// A client may send ahead, its first query with the startup; answers keep the order and no request is lost.
+func TestAnswersKeepOrder(t *testing.T) {
+	r := start(t, 0)
+	cl := r.dial()
+	b := pgwire.AppendStartup(nil, "user", "worker")
+	for id := 1; id <= 3; id++ {
+		b = pgwire.AppendQuery(pgwire.AppendQuery(b, text(writeText, id)), "")
+	}
+	for _, ch := range b { // byte by byte: no cut may matter
+		cl.write([]byte{ch})
+	}
+	cl.want("")
+	for id := 1; id <= 3; id++ {
+		q := r.hosts[0].next()
+		q.answer(q.text[:strings.Index(q.text, ",")])
+		cl.want(fmt.Sprintf("value /* id=%d", id))
+		cl.want("empty")
+	}
+}
+
+// A write that was written whole may have run: it fails and goes nowhere else. Its connection is not used again.
+func TestUnsafeIsNotResent(t *testing.T) {
+	for name, end := range map[string]func(*dbquery){
+		"reset": func(q *dbquery) { q.conn.Close() },
+		"error": func(q *dbquery) { q.refuse("XX000") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := start(t, 2)
+			cl := r.connect()
+			cl.query(text(writeText, 1))
+			end(r.hosts[0].next())
+			cl.want("error " + pgwire.CodeSystemError)
+			for i, h := range r.hosts {
+				if len(h.queries) != 0 {
+					t.Errorf("s-%d got the write again", i)
+				}
+			}
+		})
+	}
+}
+
+// A connection that is refused proves that nothing ran, and so does a miss: the write walks down the list.
+func TestWriteWalks(t *testing.T) {
+	r := start(t, 2)
+	r.hosts[0].ln.Close()
+	r.hosts[1].become(false)
+	r.hosts[2].become(true)
+	cl := r.connect()
+	cl.query(text(writeText, 1))
+	for {
+		q, miss := (*dbquery)(nil), false
+		select {
+		case q = <-r.hosts[1].queries:
+			miss = true
+		case q = <-r.hosts[2].queries:
+		case <-time.After(limit):
+			t.Fatal("the write went nowhere")
+		}
+		if miss {
+			q.refuse(pgwire.CodeReadOnly)
+			continue
+		}
+		q.answer("done")
+		break
+	}
+	cl.want("value done")
+}
+
+// While no host says that it is primary a write is held; it goes out once one does.
+func TestWriteIsHeld(t *testing.T) {
+	r := start(t, 1)
+	r.hosts[0].become(false)
+	cl := r.connect()
+	cl.query(text(writeText, 1))
+	for misses := 0; misses < 2; misses++ {
+		select {
+		case q := <-r.hosts[0].queries:
+			q.refuse(pgwire.CodeReadOnly)
+		case q := <-r.hosts[1].queries:
+			q.refuse(pgwire.CodeReadOnly)
+		case <-time.After(limit):
+			t.Fatal("the write did not walk")
+		}
+	}
+	r.hosts[1].become(true) // told by the answer to a probe
+	r.hosts[1].next().answer("done")
+	cl.want("value done")
+}
+
+// A refusal says when to come back.
+func TestRefusalTellsWhen(t *testing.T) {
+	r := start(t, 0)
+	r.hosts[0].ln.Close()
+	cl := r.connect()
+	cl.query(fmt.Sprintf(readText, 1, 30))
+	cl.want("error 53300 after 1000")
+}
+
+// Nothing new goes to a host that drains, and what it holds is finished.
+func TestDrainIsKept(t *testing.T) {
+	r := start(t, 2)
+	cl := r.connect()
+	cl.query(text(writeText, 1))
+	held := r.hosts[0].next()
+	r.watch().line(`{"generation":8,"instances":` + r.instances("DRAINING", "DRAINING") + `}`)
+	other := r.connect()
+	for !r.told(8) { // until the gateway has read the line
+	}
+	for id := 2; id < 12; id++ {
+		other.query(text(readText, id))
+		r.hosts[2].next().answer("v")
+		other.want("value v")
+	}
+	held.answer("done")
+	cl.want("value done")
+	if n := len(r.hosts[0].queries) + len(r.hosts[1].queries); n != 0 {
+		t.Errorf("%d sent to hosts that drain", n)
+	}
+}
+
+// told tells whether the gateway has read the list of that generation.
+func (r *rig) told(generation int64) (told bool) {
+	r.do(func() { told = r.s.watch.Generation() >= generation })
+	return told
+}
+
+// When its client leaves, an attempt's connection is closed: its late answer must meet nobody else.
+func TestClientLeaves(t *testing.T) {
+	r := start(t, 0)
+	cl := r.connect()
+	cl.query(text(writeText, 1))
+	q := r.hosts[0].next()
+	cl.c.Close()
+	select {
+	case <-r.hosts[0].closed:
+	case <-time.After(limit):
+		t.Fatal("the connection stays open")
+	}
+	q.answer("late")
+	cl = r.connect()
+	cl.query(text(writeText, 2))
+	r.hosts[0].next().answer("own")
+	cl.want("value own")
+}
+
+// A write that finds its idle connection closed by the host may not end as a reset: idle ones go sooner.
+func TestIdleConnectionsGoSooner(t *testing.T) {
+	r := start(t, 0, func(c *config.Config) { c.IdleClose = 40_000 })
+	cl := r.connect()
+	cl.query(text(writeText, 1))
+	r.hosts[0].next().answer("v")
+	cl.want("value v")
+	select {
+	case <-r.hosts[0].closed:
+	case <-time.After(limit):
+		t.Fatal("the idle connection stays open")
+	}
+}
+
+// An empty query is answered as such only once the list is known.
+func TestReadyOnceListed(t *testing.T) {
+	r := start(t, 0, func(c *config.Config) { c.Known = nil })
+	cl := r.connect()
+	cl.query("")
+	cl.want("error " + pgwire.CodeCannotConnectNow)
+	r.watch().line(`{"generation":8,"reset":true,"instances":` + r.instances() + `}`)
+	for !r.told(8) {
+	}
+	cl.query(" ;")
+	cl.want("empty")
+}
+
+// After a bad line the watch begins anew where it stood, and the last list holds.
+func TestBadListLine(t *testing.T) {
+	r := start(t, 0)
+	for _, bad := range []string{`{"generation":9,"instances":[{"lifecycle":"?"}]}`, `{"generation":`, "\x00"} {
+		r.watch().line(bad)
+	}
+	if a := r.watch(); !strings.HasPrefix(a.request, "GET /api/targets?stream=1&index=7 ") {
+		t.Errorf("asked %q", a.request)
+	}
+	cl := r.connect()
+	cl.query(text(writeText, 1))
+	r.hosts[0].next().answer("v")
+	cl.want("value v")
+}
+
+// Bad input gets a plain error; the connection ends only where framing is lost, and the gateway serves on.
+func TestBadInput(t *testing.T) {
+	r := start(t, 0)
+	message := func(kind byte, body string) []byte {
+		b := append([]byte{kind, 0, 0, 0, byte(4 + len(body))}, body...)
+		return b
+	}
+	for name, c := range map[string]struct {
+		raw  []byte // in place of a startup
+		in   []byte
+		want []string
+	}{
+		"no comment":        {in: pgwire.AppendQuery(nil, "SELECT 1"), want: []string{"error 42601"}},
+		"unknown class":     {in: pgwire.AppendQuery(nil, "/* c=x,cluster=1 */ SELECT 1"), want: []string{"error 42601"}},
+		"extended query":    {in: bytes.Join([][]byte{message('P', "\x00\x00\x00\x00"), message('E', "\x00\x00\x00\x00\x00"), message('S', "")}, nil), want: []string{"error 0A000"}},
+		"function call":     {in: message('F', ""), want: []string{"error 0A000"}},
+		"setting":           {in: pgwire.AppendQuery(nil, "SET a = 1"), want: []string{""}},
+		"unterminated":      {in: message('Q', "abc"), want: []string{"error 08P01 closed"}},
+		"two strings":       {in: message('Q', "a\x00b\x00"), want: []string{"error 08P01 closed"}},
+		"unknown message":   {in: message('?', ""), want: []string{"error 08P01 closed"}},
+		"too long":          {in: []byte("Q\x7f\xff\xff\xff"), want: []string{"error 08P01 closed"}},
+		"too short":         {in: []byte("Q\x00\x00\x00\x01"), want: []string{"error 08P01 closed"}},
+		"after an answer":   {in: append(pgwire.AppendQuery(nil, ""), "Q\x00\x00\x00\x01"...), want: []string{"empty", "error 08P01 closed"}},
+		"startup too long":  {raw: []byte("GET / HTTP/1.1\r\n\r\n"), want: []string{"error 08P01 closed"}},
+		"old protocol":      {raw: []byte("\x00\x00\x00\x08\x00\x02\x00\x00"), want: []string{"error 0A000 closed"}},
+		"cancel":            {raw: []byte("\x00\x00\x00\x10\x04\xd2\x16\x2e\x00\x00\x00\x00\x00\x00\x00\x00"), want: []string{"closed"}},
+		"newer minor":       {raw: []byte("\x00\x00\x00\x09\x00\x03\x00\x02\x00"), want: []string{""}},
+		"too many at once":  {in: bytes.Repeat(pgwire.AppendQuery(nil, text(writeText, 1)), 400), want: nil},
+		"leaves in silence": {in: pgwire.AppendTerminate(nil), want: []string{"closed"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var cl *client
+			if c.raw != nil {
+				cl = r.dial()
+				cl.write(c.raw)
+			} else {
+				cl = r.connect()
+				cl.write(c.in)
+			}
+			cl.t = t
+			for _, want := range c.want {
+				cl.want(want)
+			}
+			cl.c.Close()
+		})
+	}
+	cl := r.connect()
+	cl.query(text(readText, 99))
+	for { // what the clients above left behind comes first
+		q := r.hosts[0].next()
+		q.answer("v")
+		if strings.Contains(q.text, "id=99,") {
+			break
+		}
+	}
+	cl.want("value v")
+}
+
+// Connections beyond the limit: one that rests makes room; if none does, the new one is told.
+func TestConnectionLimit(t *testing.T) {
+	r := start(t, 0, func(c *config.Config) { c.Sockets = reserved + 4 }) // 2 clients
+	first, second := r.connect(), r.connect()
+	first.query(text(writeText, 1))
+	held := r.hosts[0].next()
+	third := r.connect() // second was resting
+	second.want("closed")
+	third.query(text(writeText, 2))
+	also := r.hosts[0].next()
+	fourth := r.connect()
+	fourth.query(text(writeText, 3))
+	fourth.want("error 53300 closed")
+	held.answer("v")
+	also.answer("w")
+	first.want("value v")
+	third.want("value w")
+}
+
+// Told to end, the gateway takes what still comes, answers all that it holds and then ends.
+func TestEndsInOrder(t *testing.T) {
+	r := start(t, 0)
+	cl, resting := r.connect(), r.connect()
+	cl.query(text(writeText, 1))
+	held := r.hosts[0].next()
+	r.do(func() {
+		r.s.overlap = limit.Microseconds() // it is ended by hand, when the late request has come
+		r.s.drain()
+	})
+	late := r.connect()
+	late.query(text(writeText, 2))
+	r.hosts[0].next().answer("late")
+	late.want("value late")
+	r.do(r.s.shut)
+	resting.want("closed")
+	late.want("closed")
+	held.answer("v")
+	cl.want("value v")
+	cl.want("closed")
+	select {
+	case <-r.ended:
+	case <-time.After(limit):
+		t.Fatal("does not end")
+	}
+}
+
+func TestCommands(t *testing.T) {
+	env := func(string) string { return "" }
+	for _, c := range []struct {
+		args string
+		code int
+		want string
+	}{
+		{"version", 0, "cloverrock "}, {"help", 0, "usage"}, {"check", 1, "EDGE_CONFIG"}, {"serve", 1, "EDGE_CONFIG"},
+		{"", 1, "EDGE_CONFIG"}, {"serve -x", 2, "usage"}, {"version now", 2, "no arguments"}, {"dance", 2, "usage"},
+	} {
+		var out bytes.Buffer
+		if code := run(strings.Fields(c.args), env, io.MultiWriter(&out), &out); code != c.code || !strings.Contains(out.String(), c.want) {
+			t.Errorf("%q: %d, %q", c.args, code, out.String())
+		}
+	}
+}
--- a/cmd/cloverrock/server.go
+++ b/cmd/cloverrock/server.go
@@ -34,6 +34,8 @@
 	gateway  *gateway.Gateway
 	pool     *backend.Pool
 	frontend *frontend.Server
+	watch    *discovery.Watch
+	overlap  int64
 	draining bool
 }
 
@@ -51,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{conf: conf, log: log, loop: loop.New(conf.Sockets, log)}
+	s := &server{conf: conf, log: log, loop: loop.New(conf.Sockets, log), overlap: overlap}
 	s.gateway = gateway.New(router, clock{s.loop}, log)
 	free := conf.Sockets - reserved
 	clients := free * 11 / 20
@@ -63,9 +65,9 @@
 	if conf.Known != nil {
 		generation = conf.Known.Generation
 	}
-	watch := discovery.New(s.loop, conf.Discovery, conf.Names, generation, s.listed, s.gateway.ListFailed, log)
+	s.watch = discovery.New(s.loop, conf.Discovery, conf.Names, generation, s.listed, s.gateway.ListFailed, log)
 	peers := &peer.Peers{}
-	s.gateway.Connect(s.pool, watch, peers)
+	s.gateway.Connect(s.pool, s.watch, peers)
 	if err := s.loop.Start(conf.Listen, s.frontend.Accept); err != nil {
 		return nil, err
 	}
@@ -77,7 +79,7 @@
 	if conf.Known != nil {
 		s.listed(*conf.Known)
 	}
-	watch.Subscribe()
+	s.watch.Subscribe()
 	return s, nil
 }
 
@@ -97,9 +99,12 @@
 	s.draining = true
 	s.log.Info().Int("owed", s.gateway.Owed()).Msg("told to end")
 	now := s.loop.Now()
-	s.loop.At(now+overlap, func() {
-		s.loop.StopListening()
-		s.frontend.End(s.loop.Stop)
-	})
-	s.loop.At(now+overlap+s.conf.LongestDeadline+grace, s.loop.Stop)
+	s.loop.At(now+s.overlap, s.shut)
+	s.loop.At(now+s.overlap+s.conf.LongestDeadline+grace, s.loop.Stop)
+}
+
+// shut ends the overlap: nothing new is taken any more.
+func (s *server) shut() {
+	s.loop.StopListening()
+	s.frontend.End(s.loop.Stop)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
 
 	"cloverrock/balance"
 	"cloverrock/internal/discovery"
@@ -131,7 +132,13 @@
 func decoding(under string, err error) error {
 	var wrong *json.UnmarshalTypeError
 	if errors.As(err, &wrong) {
-		key := wrong.Field
+		parts := strings.Split(wrong.Field, ".")
+		for i, p := range parts { // the adapter's fields bear no tags: their names begin with a capital
+			if p != "" {
+				parts[i] = strings.ToLower(p[:1]) + p[1:]
+			}
+		}
+		key := strings.Join(parts, ".")
 		if under != "" && key != "" {
 			key = under + "." + key
 		} else if under != "" {
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,62 @@
+package config
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.4:6543","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+ "peer_listen":"127.0.0.4:7946","peers":["127.3.0.1:7946"],"peers_all":"127.3.255.1:7946",
+ "known":{"generation":41,"reset":true,"instances":[{"instanceId":"s","hostPort":"127.1.0.1:1","zone":"z2","cell":1,"lifecycle":"SERVING"}]},
+ "settings":{"tickMs":5,"zones":["z1","z2"],"limits":{"maxAttempts":10,"idleCloseMs":20000},
+  "classes":[{"name":"lookup","aimMs":300,"deadlineMs":750,"repeat":"read_like"},{"name":"change","aimMs":500,"deadlineMs":3000,"repeat":"non_idempotent"}],
+  "extra":{"classRead":["recent","update"],"stalenessBoundMs":[500,0]}}}`
+
+func none(string) string { return "" }
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(good), func(k string) string { return map[string]string{"EDGE_NAME": "n4"}[k] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n4" || c.Seed != 0x8c1f30d27a5be964 || c.Settings.DialTimeout != 250e3 || c.IdleClose != 20e6 ||
+		c.LongestDeadline != 3e6 || !c.Classes["change"].Write || c.Classes["lookup"].Write || c.Settings.Classes[0].Bound != 500e3 ||
+		c.Known == nil || !c.Known.Full || c.Known.Entries[0].Zone != 1 || len(c.Peer.Peers) != 1 {
+		t.Errorf("read as %+v", c)
+	}
+}
+
+func TestFaultsNameTheirKey(t *testing.T) {
+	for _, c := range []struct{ old, new, key string }{
+		{`"listen":"127.0.0.4:6543"`, `"listen":""`, "listen"},
+		{`"listen":"127.0.0.4:6543"`, `"listen":"here"`, "listen"},
+		{`"discovery":"127.0.0.1:8500"`, `"discovery":7`, "discovery"},
+		{`"sockets":1024`, `"sockets":9`, "limits.sockets"},
+		{`"memory_mb":192`, `"memory_mb":1`, "limits.memory_mb"},
+		{`"peers":["127.3.0.1:7946"]`, `"peers":["x"]`, "peers[0]"},
+		{`"peers_all":"127.3.255.1:7946"`, `"peers_all":"x"`, "peers_all"},
+		{`"peer_listen":"127.0.0.4:7946"`, `"peer_listen":"x"`, "peer_listen"},
+		{`"lifecycle":"SERVING"`, `"lifecycle":"x"`, "known"},
+		{`"settings":`, `"other":`, "settings"},
+		{`"tickMs":5`, `"tickMs":0`, "settings.tickMs"},
+		{`"tickMs":5`, `"tickMs":"five"`, "settings.tickMs"},
+		{`"maxAttempts":10`, `"maxAttempts":0`, "settings.limits.maxAttempts"},
+		{`"idleCloseMs":20000`, `"idleCloseMs":-1`, "settings.limits.idleCloseMs"},
+		{`"name":"lookup"`, `"name":""`, "settings.classes[0].name"},
+		{`"aimMs":500`, `"aimMs":0`, "settings.classes[1].aimMs"},
+		{`"deadlineMs":3000`, `"deadlineMs":0`, "settings.classes[1].deadlineMs"},
+		{good, `{`, "EDGE_CONFIG"},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		_, err := Parse([]byte(text), none)
+		var e *Error
+		if text == good || !errors.As(err, &e) || e.Key != c.key {
+			t.Errorf("%s: got %v, want a fault of %s", c.new, err, c.key)
+		}
+	}
+	if _, err := Load(none); err == nil || !strings.Contains(err.Error(), "EDGE_CONFIG") {
+		t.Errorf("without EDGE_CONFIG: %v", err)
+	}
+}
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -24,19 +24,19 @@
 // Decode reads a list. One that is wrong in any part is turned down whole.
 func Decode(b []byte, names Names) (List, error) {
 	var raw struct {
-		Generation int64
-		Reset      bool
+		Generation int64 `json:"generation"`
+		Reset      bool  `json:"reset"`
 		Instances  []struct {
-			InstanceID  string `json:"instanceId"`
-			HostPort    string `json:"hostPort"`
-			Zone        string
-			MachineType string `json:"machineType"`
-			Cell        int64
-			Lifecycle   string
-			Weight      *float64
-			StartedAtMs float64 `json:"startedAtMs"`
-			Rank        string
-		}
+			InstanceID  string   `json:"instanceId"`
+			HostPort    string   `json:"hostPort"`
+			Zone        string   `json:"zone"`
+			MachineType string   `json:"machineType"`
+			Cell        int64    `json:"cell"`
+			Lifecycle   string   `json:"lifecycle"`
+			Weight      *float64 `json:"weight"`
+			StartedAtMs float64  `json:"startedAtMs"`
+			Rank        string   `json:"rank"`
+		} `json:"instances"`
 	}
 	if err := json.Unmarshal(b, &raw); err != nil {
 		return List{}, fmt.Errorf("list of hosts: %w", err)
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -38,6 +38,9 @@
 		retry: minRetry, log: log}
 }
 
+// Generation is the version of the list that was told last.
+func (w *Watch) Generation() int64 { return w.generation }
+
 // Subscribe starts to follow, if that has not begun.
 func (w *Watch) Subscribe() {
 	if w.current == nil {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -69,7 +69,7 @@
 	l.room = sync.NewCond(&l.mu)
 	logging.SetLogger(engineLog{log})
 	// The engine keeps a table of this many connections from the start, and takes no descriptor beyond it.
-	nbio.MaxOpenFiles = max(files, 64)
+	nbio.MaxOpenFiles = max(files, 1024)
 	return l
 }
 
@@ -191,12 +191,6 @@
 // Stop ends Run after the event that is being handled. The sockets are left to the end of the process.
 func (l *Loop) Stop() { l.stopped = true }
 
-// Close closes all sockets; it may not be called on the loop's goroutine while Run is on.
-func (l *Loop) Close() {
-	l.StopListening()
-	l.engine.Stop()
-}
-
 func (l *Loop) handle(ev *event) {
 	c := ev.conn
 	switch {
--- /dev/null
+++ b/internal/pgwire/pgwire_test.go
@@ -0,0 +1,156 @@
+package pgwire
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+)
+
+func TestNext(t *testing.T) {
+	for name, c := range map[string]struct {
+		in, body, rest string
+		ok             bool
+		err            error
+	}{
+		"nothing":        {},
+		"part of a head": {in: "Q\x00\x00", rest: "Q\x00\x00"},
+		"part of a body": {in: "Q\x00\x00\x00\x08ab", rest: "Q\x00\x00\x00\x08ab"},
+		"whole":          {in: "Q\x00\x00\x00\x06ab", body: "ab", ok: true},
+		"whole and more": {in: "Q\x00\x00\x00\x06abX", body: "ab", rest: "X", ok: true},
+		"length too low": {in: "Q\x00\x00\x00\x03", rest: "Q\x00\x00\x00\x03", err: ErrLength},
+		"length over":    {in: "Q\x7f\xff\xff\xff", rest: "Q\x7f\xff\xff\xff", err: ErrTooLarge},
+		"length below 0": {in: "Q\xff\xff\xff\xff", rest: "Q\xff\xff\xff\xff", err: ErrTooLarge},
+	} {
+		m, rest, ok, err := Next([]byte(c.in))
+		if string(m.Body) != c.body || string(rest) != c.rest || ok != c.ok || !errors.Is(err, c.err) {
+			t.Errorf("%s: got %q, rest %q, %v, %v", name, m.Body, rest, ok, err)
+		}
+	}
+}
+
+func TestNextStartup(t *testing.T) {
+	whole := string(AppendStartup(nil, "user", "worker", "database", "catalog"))
+	for name, c := range map[string]struct {
+		in     string
+		want   Startup
+		rest   string
+		ok, er bool
+	}{
+		"nothing":          {},
+		"part":             {in: whole[:20], rest: whole[:20]},
+		"whole and more":   {in: whole + "Q", want: Startup{ProtocolVersion, map[string]string{"user": "worker", "database": "catalog"}}, rest: "Q", ok: true},
+		"request for TLS":  {in: "\x00\x00\x00\x08\x04\xd2\x16\x2f", want: Startup{SSLRequest, map[string]string{}}, ok: true},
+		"too short":        {in: "\x00\x00\x00\x07\x00\x03\x00\x00", rest: "\x00\x00\x00\x07\x00\x03\x00\x00", er: true},
+		"too long":         {in: "GET / HTTP/1.1\r\n", rest: "GET / HTTP/1.1\r\n", er: true},
+		"name without end": {in: "\x00\x00\x00\x0a\x00\x03\x00\x00ab", rest: "\x00\x00\x00\x0a\x00\x03\x00\x00ab", er: true},
+	} {
+		s, rest, ok, err := NextStartup([]byte(c.in))
+		if ok != c.ok || (err != nil) != c.er || string(rest) != c.rest {
+			t.Errorf("%s: rest %q, %v, %v", name, rest, ok, err)
+		}
+		if d := cmp.Diff(c.want, s); ok && d != "" {
+			t.Errorf("%s: %s", name, d)
+		}
+	}
+}
+
+func TestParseQuery(t *testing.T) {
+	for name, c := range map[string]struct {
+		in   string
+		want Query
+		sent string // with 250 ms left; "" if the query is turned down
+	}{
+		"read": {
+			in:   "/* id=9b1f,c=basket,d=480,cluster=2,after=1767225600123 */ SELECT body FROM objects WHERE oid = '7f3a9c21e0b4d655'",
+			want: Query{Class: "basket", Cluster: 2, Wait: 480e3, After: 1767225600123e3, Key: "7f3a9c21e0b4d655", HasKey: true},
+			sent: "/* id=9b1f,c=basket,d=250,cluster=2,after=1767225600123 */ SELECT body FROM objects WHERE oid = '7f3a9c21e0b4d655'",
+		},
+		"other names and order": {
+			in:   "/*cluster=0,k=ab,c=order,new=,odd,d=0480 */ INSERT INTO objects VALUES (1)",
+			want: Query{Class: "order", Wait: 480e3},
+			sent: "/*cluster=0,k=ab,c=order,new=,odd,d=250 */ INSERT INTO objects VALUES (1)",
+		},
+		"no wait":      {in: "/* c=a,cluster=1 */ SELECT 'open", want: Query{Class: "a", Cluster: 1, Wait: -1}, sent: "/* c=a,cluster=1 */ SELECT 'open"},
+		"commit up":    {in: "/* c=a,cluster=1,after=5.0001 */ S", want: Query{Class: "a", Cluster: 1, Wait: -1, After: 5001}, sent: "/* c=a,cluster=1,after=5.0001 */ S"},
+		"no comment":   {in: "SELECT 1"},
+		"open comment": {in: "/* c=a,cluster=1 SELECT 1"},
+		"no class":     {in: "/* cluster=1 */ SELECT 1"},
+		"no cluster":   {in: "/* c=a */ SELECT 1"},
+		"bad wait":     {in: "/* c=a,cluster=1,d=-4 */ SELECT 1"},
+		"bad cluster":  {in: "/* c=a,cluster=x */ SELECT 1"},
+		"huge after":   {in: "/* c=a,cluster=1,after=99999999999999999999 */ SELECT 1"},
+	} {
+		q, err := ParseQuery([]byte(c.in))
+		if (err != nil) != (c.sent == "") {
+			t.Errorf("%s: %v", name, err)
+		}
+		if err != nil {
+			continue
+		}
+		if d := cmp.Diff(c.want, *q, cmpopts.IgnoreUnexported(Query{})); d != "" {
+			t.Errorf("%s: %s", name, d)
+		}
+		if m, _, _, _ := Next(q.Append(nil, 250_999)); string(m.Body) != c.sent+"\x00" {
+			t.Errorf("%s: sent %q", name, m.Body)
+		}
+	}
+}
+
+func TestDecimal(t *testing.T) {
+	for _, c := range []struct {
+		in       string
+		scale    int
+		down, up int64
+		bad      bool
+	}{
+		{in: "1767225600123", scale: 3, down: 1767225600123000, up: 1767225600123000},
+		{in: "1767225600.123", scale: 6, down: 1767225600123000, up: 1767225600123000},
+		{in: "1.2345678", scale: 6, down: 1234567, up: 1234568},
+		{in: "0.5", scale: 0, down: 0, up: 1}, {in: "2.000", scale: 0, down: 2, up: 2},
+		{in: "", bad: true}, {in: ".", bad: true}, {in: "-1", bad: true}, {in: "1.2.3", bad: true}, {in: "1e3", bad: true},
+		{in: strings.Repeat("9", 40), bad: true}, {in: "99999999999999999", scale: 6, bad: true},
+	} {
+		down, err := Decimal(c.in, c.scale, false)
+		up, _ := Decimal(c.in, c.scale, true)
+		if (err != nil) != c.bad || err == nil && (down != c.down || up != c.up) {
+			t.Errorf("%q: got %d and %d, %v", c.in, down, up, err)
+		}
+	}
+}
+
+func TestCommand(t *testing.T) {
+	for in, want := range map[string]string{
+		"": "", " ;\n": "", "set x=1": "SET", "DISCARD ALL;": "DISCARD", "/* c=a */ SET x": "/*", "RESET;": "RESET",
+	} {
+		if got := Command(in); got != want {
+			t.Errorf("%q: got %q", in, got)
+		}
+	}
+}
+
+func TestErrorRoundTrip(t *testing.T) {
+	want := Error{Severity: "ERROR", Code: CodeTooManyConnections, Message: "full", Detail: "150"}
+	m, _, _, _ := Next(AppendError(nil, want))
+	if d := cmp.Diff(want, ParseError(m.Body)); m.Type != 'E' || d != "" {
+		t.Error(d)
+	}
+	ParseError([]byte("Sopen")) // a field without an end is no reason to fall
+}
+
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte("/* c=a,cluster=1,d=5 */ SELECT 'x'"))
+	f.Add(AppendRow(nil, "body", "v"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if q, err := ParseQuery(b); err == nil {
+			q.Append(nil, 1)
+		}
+		_, _, _, _ = NextStartup(b)
+		if m, _, ok, _ := Next(b); ok {
+			ParseError(m.Body)
+			FirstColumn(m.Body)
+		}
+	})
+}
