--- a/cmd/cloverrock/server.go
+++ b/cmd/cloverrock/server.go
@@ -57,7 +57,9 @@
 	s.gateway = gateway.New(router, clock{s.loop}, log)
 	free := conf.Sockets - reserved
 	clients := free * 11 / 20
-	s.frontend = frontend.New(s.loop, s.gateway, conf.Classes, clients, log)
+	s.frontend = frontend.New(s.loop, s.gateway, conf.Classes, frontend.Limits{
+		Connections: clients, Bytes: conf.MemoryMB << 20 / 5,
+	}, log)
 	s.pool = backend.New(s.loop, s.gateway, backend.Limits{
 		DialTimeout: conf.Settings.DialTimeout, IdleClose: conf.IdleClose, Connections: free - clients,
 	}, log)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/list"
+	"errors"
 	"fmt"
 
 	"github.com/rs/zerolog"
@@ -14,11 +15,14 @@
 )
 
 const (
-	maxPipelined   = 256       // commands of one client that wait for their turn
-	maxUnread      = 256 << 10 // bytes of answers that a client has not read before its next command waits
-	surplusClients = 16        // connections beyond the limit that are told so
+	maxPipelined   = 256      // commands of one client that wait for their turn
+	maxUnread      = 64 << 10 // bytes of answers that a client has not read before its next command waits
+	surplusClients = 16       // connections beyond the limit that are told so
 )
 
+// errTooMuch ends a connection on which more was sent ahead than can be held.
+var errTooMuch = errors.New("too much sent ahead of the answers")
+
 // Gateway takes requests.
 type Gateway interface {
 	Accept(q gateway.Request) int64
@@ -33,32 +37,39 @@
 	Deadline int64 // for a query that does not say how long its client waits
 }
 
+// Limits bound what the clients together may take.
+type Limits struct {
+	Connections int
+	Bytes       int // of commands that wait for their turn, and of messages begun
+}
+
 // Server is all client connections. It belongs to the loop's goroutine.
 type Server struct {
 	loop    *loop.Loop
 	gateway Gateway
 	classes map[string]Class
-	limit   int // connections
+	limits  Limits
 	log     zerolog.Logger
 	clients map[*client]struct{}
+	held    int        // bytes of commands that wait for their turn, and of messages begun
 	idle    *list.List // clients between requests, the longest idle first
 	ending  bool
 	ended   func()
 }
 
-// New returns a server for at most so many connections.
-func New(l *loop.Loop, g Gateway, classes map[string]Class, limit int, log zerolog.Logger) *Server {
-	return &Server{loop: l, gateway: g, classes: classes, limit: limit, log: log, clients: map[*client]struct{}{}, idle: list.New()}
+// New returns a server without clients.
+func New(l *loop.Loop, g Gateway, classes map[string]Class, limits Limits, log zerolog.Logger) *Server {
+	return &Server{loop: l, gateway: g, classes: classes, limits: limits, log: log, clients: map[*client]struct{}{}, idle: list.New()}
 }
 
 // Accept takes a new connection. When there are too many, the one that has stood idle longest makes room; if
 // all are at work, the new one is let in only to be told.
 func (s *Server) Accept(c *loop.Conn) loop.Handler {
 	cl := &client{server: s, net: c}
-	if len(s.clients) >= s.limit {
+	if len(s.clients) >= s.limits.Connections {
 		if e := s.idle.Front(); e != nil {
 			e.Value.(*client).close()
-		} else if len(s.clients) >= s.limit+surplusClients {
+		} else if len(s.clients) >= s.limits.Connections+surplusClients {
 			c.Close()
 			return cl
 		} else {
@@ -73,8 +84,10 @@
 // End closes each connection once nothing is owed on it, and calls back when the last is closed.
 func (s *Server) End(ended func()) {
 	s.ending, s.ended = true, ended
-	for s.idle.Len() > 0 {
-		s.idle.Front().Value.(*client).close()
+	for c := range s.clients {
+		if c.resting != nil && len(c.in) == 0 {
+			c.close()
+		}
 	}
 	s.check()
 }
@@ -97,6 +110,7 @@
 
 	in      []byte
 	queue   []command // in the order in which they came
+	held    int       // its part of the server's
 	request int64     // the one that is out; 0 if none
 	waiting bool      // a request is out
 	resting *list.Element
@@ -120,6 +134,8 @@
 	}
 	c.closed = true
 	c.work()
+	c.in, c.queue = nil, nil
+	c.count()
 	delete(c.server.clients, c)
 	if c.waiting {
 		c.waiting = false
@@ -143,6 +159,16 @@
 	c.server.loop.At(c.server.loop.Now()+5e3, c.part)
 }
 
+// count brings the number of bytes held up to date.
+func (c *client) count() {
+	n := len(c.in)
+	for i := range c.queue {
+		n += len(c.queue[i].text)
+	}
+	c.server.held += n - c.held
+	c.held = n
+}
+
 // rest and work note whether the connection is between requests.
 func (c *client) rest() {
 	if c.resting == nil && !c.closed {
@@ -187,7 +213,7 @@
 		}
 		m, rest, ok, err := pgwire.Next(b)
 		if err == nil && ok && len(c.queue) >= maxPipelined {
-			err = pgwire.ErrTooLarge
+			err = errTooMuch
 		}
 		if err != nil {
 			c.queue = append(c.queue, command{at: now, err: err})
@@ -200,6 +226,12 @@
 		b = rest
 		c.queue = append(c.queue, command{kind: m.Type, text: m.Body, at: now})
 	}
+	// What clients send ahead is held, and so is what they never finish: together it must not fill the memory.
+	if c.count(); c.server.held > c.server.limits.Bytes {
+		c.in = nil
+		c.queue = append(c.queue, command{at: now, err: errTooMuch})
+		c.count()
+	}
 	c.next()
 }
 
@@ -250,11 +282,12 @@
 		return
 	}
 	c.queue = nil
+	c.count()
 	if c.server.ending && len(c.in) == 0 {
 		c.part()
-	} else if len(c.in) == 0 {
-		c.rest()
+		return
 	}
+	c.rest() // a message that has only begun is no request yet
 }
 
 func (c *client) command(cmd command) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,6 @@
 	events  []balance.Event
 	acts    []balance.Action
 	running bool
-	idle    func() // told when the last request is answered
 }
 
 // live is a request that is owed an answer, or whose attempt is still out.
@@ -131,9 +130,6 @@
 	return n
 }
 
-// WhenIdle calls f each time that no request is owed an answer any more.
-func (g *Gateway) WhenIdle(f func()) { g.idle = f }
-
 // Accept takes a request and returns its id.
 func (g *Gateway) Accept(q Request) int64 {
 	g.last++
@@ -277,7 +273,4 @@
 	if !q.out {
 		delete(g.live, id)
 	}
-	if g.idle != nil && g.Owed() == 0 {
-		g.idle()
-	}
 }
