Refuse at half its time a read that no host has had

Checked: logs show no error there, "through a node" shows 0.1 ms to the first attempt, so the requests waited in the module. At fault is expire: it gave up at the aim less the group's latency, which for clients that wait 300 to 450 ms lies past half of their time.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -93,18 +93,19 @@
 
 // request is one that we owe a final answer, or whose last attempt is still out.
 type request struct {
-	id, key             int64
-	kind, late, ranZone int
-	class               *Class
-	group               *group
-	aimAt, until        int64
-	need                int64 // OwnWrite: position that shows the session's writes
-	attempts, try       int
-	at, last            *host   // where its attempt is out; where it failed last
-	ahead               float64 // requests that its host had in flight, by report
-	sentAt, askUntil    int64   // when it was sent; until when it waits for a position asked for
-	ranAt               int64   // sending of the first attempt that may have run; 0 if none
-	hasKey, done, dials bool    // dials: its attempt needed a new connection
+	id, key              int64
+	kind, late, ranZone  int
+	class                *Class
+	group                *group
+	aimAt, until, halfAt int64 // halfAt: half of its time has passed
+	need                 int64 // OwnWrite: position that shows the session's writes
+	attempts, try        int
+	at, last             *host   // where its attempt is out; where it failed last
+	ahead                float64 // requests that its host had in flight, by report
+	sentAt, askUntil     int64   // when it was sent; until when it waits for a position asked for
+	ranAt                int64   // sending of the first attempt that may have run; 0 if none
+	hasKey, done, dials  bool    // dials: its attempt needed a new connection
+	met                  bool    // a host has had it
 }
 
 // Router decides for one router. It is not safe for concurrent use.
@@ -494,7 +495,7 @@
 	}
 	c := &r.set.Classes[ev.Class]
 	q := &request{id: ev.Request, class: c, kind: ev.Class, group: r.groupOf(ev.Group),
-		key: ev.Key, hasKey: ev.HasKey, until: ev.Until}
+		key: ev.Key, hasKey: ev.HasKey, until: ev.Until, halfAt: r.now + (ev.Until-r.now)/2}
 	q.aimAt = min(r.now+c.Aim+int64(c.AimStretch*float64(ev.Hint)), q.until)
 	if c.Need == OwnWrite && !r.set.Carried {
 		q.need = r.token(ev.Key)
@@ -776,6 +777,7 @@
 // settle decides what follows an attempt that did not serve: another, an early refusal if safe, or a failure.
 func (r *Router) settle(q *request, ev *Event) {
 	unrun := ev.Result.ProvesUnrun()
+	q.met = q.met || ev.Result != Refused && ev.Result != Skipped
 	if !unrun && q.ranAt == 0 {
 		q.ranAt, q.ranZone = q.sentAt, q.last.zone
 	}
@@ -863,11 +865,13 @@
 	}
 }
 
-// expire gives up what waits in vain, and moves behind the others what can only be late.
+// expire gives up what waits in vain, and moves behind the others what can only be late. A read that no host
+// has had by half of its time is refused while its client has time to come back.
 func (r *Router) expire(g *group) {
 	g.wait = slices.DeleteFunc(g.wait, func(q *request) bool {
 		q.late = r.late(q)
-		if !q.done && (r.over(q) || q.late > 0 && q.class.LateWorth == 0) {
+		vain := !q.met && q.class.Need != Update && r.now+r.period() >= q.halfAt
+		if !q.done && (vain || r.over(q) || q.late > 0 && q.class.LateWorth == 0) {
 			r.giveUp(q)
 		}
 		return q.done
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1121,3 +1121,63 @@
 		t.Error("the host is never probed again")
 	}
 }
+
+// A read that no host has had by half of its time is refused; a write, or a read that a host turned away, stays.
+func TestReadThatNoHostHadIsRefusedAtHalfItsTime(t *testing.T) {
+	for _, c := range []struct {
+		class   int
+		met     bool
+		refused bool
+	}{{recent, false, true}, {recent, true, false}, {unsafe, false, false}} {
+		g := readyRig(t, testSettings())
+		if !c.met {
+			for _, h := range g.r.order {
+				h.limit = 0
+			}
+		}
+		id, acts := g.ask(c.class)
+		if c.met {
+			host := sentTo(acts, id)
+			for _, h := range g.r.order {
+				h.limit = 0
+			}
+			g.answer(id, host, Full, RoleUnknown, 0)
+		}
+		half := g.r.set.Classes[c.class].Deadline / 2
+		if a := find(g.wait(half-3*g.r.period()), RefuseAction, id); a != nil {
+			t.Errorf("class %d: refused before half of its time", c.class)
+		}
+		if a := find(g.wait(2*g.r.period()), RefuseAction, id); (a != nil) != c.refused {
+			t.Errorf("class %d, met %v: refusal at half of its time: %v", c.class, c.met, a)
+		}
+	}
+}
+
+// A decision ages while a connection opens: what no longer fits may not be written.
+func TestDecisionAges(t *testing.T) {
+	set := testSettings()
+	set.Classes[recent].Deadline *= 2
+	g := readyRig(t, set)
+	id, acts := g.ask(recent)
+	host := sentTo(acts, id)
+	bound := g.r.set.Classes[recent].Bound
+	if !g.r.StillFits(g.now+bound, id) || g.r.StillFits(g.now+bound+1, id) {
+		t.Error("a position older than the bound still fits, or one within it does not")
+	}
+	g.do(Event{Kind: ListEvent, Entries: []Entry{{Host: host, Phase: Draining}}})
+	if g.r.StillFits(g.now, id) {
+		t.Error("a host that drains still fits")
+	}
+	write, _ := g.ask(unsafe)
+	if g.r.StillFits(g.now+g.r.set.Classes[unsafe].Deadline, write) || !g.r.StillFits(g.now, write) || g.r.StillFits(g.now, 99) {
+		t.Error("a write fits after its deadline, or not in time, or one that nobody knows does")
+	}
+}
+
+// A commit rounded up to whole milliseconds may lie ahead of the clock; it binds all the same.
+func TestCommitAheadOfTheClock(t *testing.T) {
+	g := readyRig(t, testSettings())
+	if id, acts := g.askFor(session, 5, -ms/2); sentTo(acts, id) == "b" || sentTo(acts, id) == "c" {
+		t.Error("sent to a replica that stands before the commit")
+	}
+}
