Send late writes by who leaves first

At fault is before: among late requests, which all earn the same, it put the newest first, so those about to leave expired. Ruled out first: refusing at half time the writes that cannot outlast a takeover.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -515,7 +515,8 @@
 }
 
 // hold puts a request among those that wait: late ones last, dearest first, then newest first; with more
-// asked than can be served, oldest first would send each with too little time left, and serve none.
+// asked than can be served, oldest first would send each with too little time left, and serve none. Of late
+// ones, which earn the same until their client leaves, the one that leaves first goes first.
 func (r *Router) hold(q *request) {
 	if r.over(q) {
 		r.giveUp(q)
@@ -528,6 +529,9 @@
 
 func (r *Router) before(a, b *request) int {
 	worth := cmp.Compare(r.value(b.kind), r.value(a.kind))
+	if a.late > 0 && b.late > 0 {
+		return cmp.Or(worth, cmp.Compare(a.until, b.until))
+	}
 	return cmp.Or(cmp.Compare(a.late, b.late), worth, cmp.Compare(b.aimAt, a.aimAt))
 }
 
