--- a/cmd/cloverrock/server.go
+++ b/cmd/cloverrock/server.go
@@ -3,6 +3,7 @@
 import (
 	"runtime"
 	"runtime/debug"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -62,7 +63,7 @@
 	}, log)
 	s.pool = backend.New(s.loop, s.gateway, backend.Limits{
 		DialTimeout: conf.Settings.DialTimeout, IdleClose: conf.IdleClose, Connections: free - clients,
-	}, log)
+	}, log.Sample(&zerolog.BurstSampler{Burst: 20, Period: time.Second})) // a host that only fails fills no log
 	generation := int64(0)
 	if conf.Known != nil {
 		generation = conf.Known.Generation
