--- a/cmd/cloverrock/serve_test.go
+++ b/cmd/cloverrock/serve_test.go
@@ -346,3 +346,44 @@
 		}
 	}
 }
+
+// A client that reads slowly rests with its answer half written: neither a new client nor the end may cut it off.
+func TestSlowReaderGetsItsAnswer(t *testing.T) {
+	r := start(t, 0, func(c *config.Config) { c.Sockets = reserved + 4 }) // 2 clients
+	slow, other := r.connect(), r.connect()
+	value := strings.Repeat("v", 64<<10)
+	id := 0
+	for ; !r.unread(); id++ {
+		if id == 1000 {
+			t.Fatal("64 MB were written to a client that reads nothing")
+		}
+		slow.query(text(writeText, id))
+		r.hosts[0].next().answer(value)
+		for r.owed() {
+		}
+	}
+	other.query("") // so that slow has rested longer
+	other.want("empty")
+	r.connect().c.Close()
+	other.want("closed")
+	r.do(func() {
+		r.s.overlap = limit.Microseconds()
+		r.s.drain()
+		r.s.shut()
+	})
+	for ; id > 0; id-- {
+		slow.want("value " + value)
+	}
+	slow.want("closed")
+}
+
+func (r *rig) owed() (owed bool) {
+	r.do(func() { owed = r.s.gateway.Owed() > 0 })
+	return owed
+}
+
+// unread tells whether a client has left more unread than its next command may find.
+func (r *rig) unread() (unread bool) {
+	r.do(func() { unread = r.s.frontend.Unread() > 64<<10 })
+	return unread
+}
--- a/cmd/cloverrock/server.go
+++ b/cmd/cloverrock/server.go
@@ -100,7 +100,7 @@
 		return
 	}
 	s.draining = true
-	s.log.Info().Int("owed", s.gateway.Owed()).Msg("told to end")
+	s.log.Info().Int("owed", s.gateway.Owed()).Int64("unread", s.frontend.Unread()).Msg("told to end")
 	now := s.loop.Now()
 	s.loop.At(now+s.overlap, s.shut)
 	s.loop.At(now+s.overlap+s.conf.LongestDeadline+grace, s.loop.Stop)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -67,8 +67,8 @@
 func (s *Server) Accept(c *loop.Conn) loop.Handler {
 	cl := &client{server: s, net: c}
 	if len(s.clients) >= s.limits.Connections {
-		if e := s.idle.Front(); e != nil {
-			e.Value.(*client).close()
+		if old := s.longestIdle(); old != nil {
+			old.close()
 		} else if len(s.clients) >= s.limits.Connections+surplusClients {
 			c.Close()
 			return cl
@@ -81,12 +81,31 @@
 	return cl
 }
 
+// longestIdle is the client that has rested longest of those that have read their last answer whole: to close
+// any other would lose that answer.
+func (s *Server) longestIdle() *client {
+	for e := s.idle.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*client); c.net.Unwritten() <= 0 {
+			return c
+		}
+	}
+	return nil
+}
+
+// Unread is the number of bytes of answers that clients have yet to read.
+func (s *Server) Unread() (n int64) {
+	for c := range s.clients {
+		n += c.net.Unwritten()
+	}
+	return n
+}
+
 // End closes each connection once nothing is owed on it, and calls back when the last is closed.
 func (s *Server) End(ended func()) {
 	s.ending, s.ended = true, ended
 	for c := range s.clients {
 		if c.resting != nil && len(c.in) == 0 {
-			c.close()
+			c.part()
 		}
 	}
 	s.check()
@@ -106,6 +125,7 @@
 	started bool
 	surplus bool
 	closed  bool
+	dead    bool // a fatal error was sent: what comes now means nothing
 	skip    bool // an extended query was turned away: nothing counts until its Sync
 
 	in      []byte
@@ -114,6 +134,7 @@
 	request int64     // the one that is out; 0 if none
 	waiting bool      // a request is out
 	resting *list.Element
+	timer   *loop.Timer
 }
 
 // command is a message that waits for its turn.
@@ -149,14 +170,22 @@
 	c.gone()
 }
 
-// part closes the connection once all that was written to it is on its way.
+// part closes the connection once all that was written to it is on its way. A client that reads slowly may send
+// a request meanwhile: unless the connection is dead that one is taken and answered first.
 func (c *client) part() {
-	c.work()
-	if c.closed || c.net.Unwritten() <= 0 {
+	switch {
+	case c.closed || c.waiting:
+	case c.net.Unwritten() <= 0:
 		c.close()
-		return
+	default:
+		c.later(c.part)
 	}
-	c.server.loop.At(c.server.loop.Now()+5e3, c.part)
+}
+
+// later calls f once the client has had some time to read; at most one call is under way.
+func (c *client) later(f func()) {
+	c.timer.Stop()
+	c.timer = c.server.loop.At(c.server.loop.Now()+5e3, f)
 }
 
 // count brings the number of bytes held up to date.
@@ -185,8 +214,8 @@
 
 // Data implements loop.Handler.
 func (c *client) Data(b []byte) {
-	if n := len(c.queue); n > 0 && c.queue[n-1].err != nil {
-		return // framing is lost: what comes now means nothing
+	if n := len(c.queue); c.dead || n > 0 && c.queue[n-1].err != nil {
+		return // the same where framing is lost
 	}
 	if len(c.in) > 0 {
 		b = append(c.in, b...)
@@ -267,7 +296,7 @@
 func (c *client) next() {
 	for !c.waiting && !c.closed && len(c.queue) > 0 {
 		if c.net.Unwritten() > maxUnread {
-			c.server.loop.At(c.server.loop.Now()+1e4, c.next)
+			c.later(c.next)
 			return
 		}
 		cmd := c.queue[0]
@@ -395,6 +424,7 @@
 // fatal says why the connection ends, and ends it.
 func (c *client) fatal(code, message string) {
 	c.net.Write(pgwire.AppendError(nil, pgwire.Error{Severity: "FATAL", Code: code, Message: message}))
-	c.queue, c.in = nil, nil
+	c.dead, c.queue, c.in = true, nil, nil
+	c.work()
 	c.part()
 }
