--- a/cmd/cloverrock/rig_test.go
+++ b/cmd/cloverrock/rig_test.go
@@ -114,6 +114,13 @@
 	return role, position
 }
 
+// stand fixes the host's position.
+func (h *dbhost) stand(at time.Time) {
+	h.mu.Lock()
+	h.as = at.UnixMilli()
+	h.mu.Unlock()
+}
+
 func (h *dbhost) become(primary bool) {
 	h.mu.Lock()
 	h.primary = primary
--- a/cmd/cloverrock/serve_test.go
+++ b/cmd/cloverrock/serve_test.go
@@ -387,3 +387,23 @@
 	r.do(func() { unread = r.s.frontend.Unread() > 64<<10 })
 	return unread
 }
+
+// No read is answered from data older than its class allows: the primary takes it if the replica stands too far back.
+func TestStaleReplicaGetsNoRead(t *testing.T) {
+	r := start(t, 1)
+	r.hosts[1].stand(time.Now().Add(-2 * time.Minute)) // the bound is 1 min
+	cl := r.connect()
+	for id := 1; id <= 5; id++ {
+		cl.query(text(readText, id))
+		r.hosts[0].next().answer("fresh")
+		cl.want("value fresh")
+	}
+	r.hosts[1].stand(time.Now())
+	after := time.Now().UnixMilli() + 1000 // no replica has reached it
+	cl.query(fmt.Sprintf("/* id=9,c=own,d=60000,cluster=1,after=%d */ SELECT body FROM objects WHERE oid = 'k'", after))
+	r.hosts[0].next().answer("own")
+	cl.want("value own")
+	if len(r.hosts[1].queries) != 0 {
+		t.Error("the replica got a read")
+	}
+}
