Read the configuration again on SIGHUP and follow its discovery

Checked: the log ends without a line; main.go asked for SIGTERM and SIGINT only, so SIGHUP had its default effect. At fault: signal.Notify in cmd/cloverrock/main.go; and internal/config let EDGE_DISCOVERY override the file always. Change: config.Reload reads the file again with the file's discovery first; a bad file is logged with its key and changes nothing; Watch.Move goes to the new address from the generation told last. TestSignals dies of SIGHUP without the change, TestReloadFollowsTheFile fails where the environment still goes first; both seen.

--- a/cmd/cloverrock/main.go
+++ b/cmd/cloverrock/main.go
@@ -22,6 +22,7 @@
   version   print the version
 
 The configuration is the JSON file that EDGE_CONFIG names; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY override it.
+SIGHUP has serve read the file again and follow its discovery; SIGTERM and SIGINT end it in order.
 `
 
 func main() { os.Exit(run(os.Args[1:], os.Getenv, os.Stdout, os.Stderr)) }
@@ -75,18 +76,15 @@
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(diag).Level(least).With().Timestamp().Str("gateway", conf.Name).Logger()
+	signals := make(chan os.Signal, 8) // room, so that a SIGTERM behind some SIGHUPs is not dropped
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	s, err := newServer(conf, log)
 	if err != nil {
 		log.Error().Err(err).Msg("cannot start")
 		return 1
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		s.loop.Post(s.drain)
-	}()
-	log.Info().Str("version", version()).Str("listen", conf.Listen).Msg("serving")
+	go s.signals(signals, getenv)
+	log.Info().Str("version", version()).Str("listen", s.loop.Address()).Msg("serving")
 	s.loop.Run()
 	log.Info().Msg("ended")
 	return 0
--- a/cmd/cloverrock/rig_test.go
+++ b/cmd/cloverrock/rig_test.go
@@ -164,7 +164,10 @@
 
 func (r *rig) dial() *client {
 	r.t.Helper()
-	c, err := net.Dial("tcp4", r.s.loop.Address())
+	if r.s != nil {
+		r.address = r.s.loop.Address()
+	}
+	c, err := net.Dial("tcp4", r.address)
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -232,12 +235,13 @@
 
 // rig is a gateway with hosts and a discovery that the test plays.
 type rig struct {
-	t     *testing.T
-	s     *server
-	ended chan struct{}
-	disc  net.Listener
-	conns chan *agent
-	hosts []*dbhost
+	t       *testing.T
+	s       *server // nil where a test runs the whole program
+	address string
+	ended   chan struct{}
+	disc    net.Listener
+	conns   chan *agent
+	hosts   []*dbhost
 }
 
 // agent is discovery's end of one watch.
@@ -279,19 +283,25 @@
 	return "[" + strings.Join(all, ",") + "]"
 }
 
-// start runs a gateway before one primary, s-0, and so many replicas.
-func start(t *testing.T, replicas int, change ...func(*config.Config)) *rig {
+// play sets up one primary, s-0, so many replicas, and discovery, without a gateway.
+func play(t *testing.T, replicas int) *rig {
 	t.Helper()
 	r := &rig{t: t, ended: make(chan struct{}), conns: make(chan *agent, 16)}
 	for i := 0; i <= replicas; i++ {
 		r.hosts = append(r.hosts, newHost(t, i == 0))
 	}
+	r.disc = r.discovery()
+	return r
+}
+
+// discovery listens for watches.
+func (r *rig) discovery() net.Listener {
+	r.t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		r.t.Fatal(err)
 	}
-	r.disc = ln
-	t.Cleanup(func() { ln.Close() })
+	r.t.Cleanup(func() { ln.Close() })
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -302,7 +312,12 @@
 			r.conns <- &agent{c, strings.TrimSpace(request)}
 		}
 	}()
-	conf, err := config.Parse(fmt.Appendf(nil, `{"listen":"127.0.0.1:0","discovery":%q,"known":{"generation":7,"instances":%s},
+	return ln
+}
+
+// file is the configuration of a gateway with discovery at an address.
+func (r *rig) file(discovery net.Addr) []byte {
+	return fmt.Appendf(nil, `{"listen":"127.0.0.1:0","discovery":%q,"known":{"generation":7,"instances":%s},
 		"settings":{"tickMs":5,"limits":{"maxAttempts":10,"cancel":true,"probes":true,"dialTimeoutMs":20000,"maxRetryAfterMs":1000},
 		"report":{"fields":["x0","x1"]},"classes":[
 			{"name":"lookup","aimMs":30000,"deadlineMs":60000,"repeat":"read_like","worth":1},
@@ -310,7 +325,14 @@
 			{"name":"change","aimMs":30000,"deadlineMs":60000,"repeat":"non_idempotent","worth":3,"lateWorth":0.7}],
 		"extra":{"classRead":["recent","own_writes","update"],"stalenessBoundMs":[60000,0,0],"tokens":"client","serverChecks":"none"},
 		"obligations":{"coldFrom":0.25,"coldMs":16000,"fallMultiple":4,"overloadForMs":1500}}}`,
-		ln.Addr(), r.instances()), func(string) string { return "" })
+		discovery, r.instances())
+}
+
+// start runs a gateway before one primary, s-0, and so many replicas.
+func start(t *testing.T, replicas int, change ...func(*config.Config)) *rig {
+	t.Helper()
+	r := play(t, replicas)
+	conf, err := config.Parse(r.file(r.disc.Addr()), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/cloverrock/serve_test.go
+++ b/cmd/cloverrock/serve_test.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -407,3 +410,76 @@
 		t.Error("the replica got a read")
 	}
 }
+
+// lines hands on the log lines of a program.
+type lines chan string
+
+func (l lines) Write(b []byte) (int, error) { l <- string(b); return len(b), nil }
+
+// until waits for a line that holds a text.
+func (l lines) until(t *testing.T, text string) string {
+	t.Helper()
+	for {
+		select {
+		case line := <-l:
+			if strings.Contains(line, text) {
+				return line
+			}
+		case <-time.After(limit):
+			t.Fatalf("no line with %q", text)
+		}
+	}
+}
+
+// On SIGHUP the file is read again: a bad one changes nothing and its key is logged, a good one moves the watch on
+// from the list as it stands, with a request under way. SIGTERM beside a SIGHUP still ends the program in order.
+func TestSignals(t *testing.T) {
+	r := play(t, 0)
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(b []byte) {
+		t.Helper()
+		if err := os.WriteFile(path, b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(r.file(r.disc.Addr()))
+	log, code := make(lines, 1024), make(chan int, 1)
+	go func() {
+		code <- run(nil, func(k string) string {
+			return map[string]string{"EDGE_CONFIG": path, "EDGE_DISCOVERY": r.disc.Addr().String()}[k]
+		}, io.Discard, log)
+	}()
+	_, rest, _ := strings.Cut(log.until(t, `"serving"`), `"listen":"`)
+	r.address, _, _ = strings.Cut(rest, `"`)
+	r.watch().line(`{"generation":8,"instances":` + r.instances() + `}`)
+	cl := r.connect()
+	cl.query(text(writeText, 1))
+	held := r.hosts[0].next()
+
+	write([]byte(`{"listen":7}`))
+	_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	log.until(t, "listen: is a number")
+	r.disc.Close()
+	write(r.file(r.discovery().Addr()))
+	_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	if a := r.watch(); !strings.HasPrefix(a.request, "GET /api/targets?stream=1&index=") || strings.Contains(a.request, "index=0 ") {
+		t.Errorf("asked %q", a.request)
+	}
+	held.answer("v")
+	cl.want("value v")
+	cl.query(text(writeText, 2))
+	held = r.hosts[0].next()
+	_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	_ = syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	log.until(t, "told to end")
+	held.answer("w")
+	cl.want("value w")
+	select {
+	case c := <-code:
+		if c != 0 {
+			t.Errorf("ended with %d", c)
+		}
+	case <-time.After(limit):
+		t.Fatal("does not end")
+	}
+}
--- a/cmd/cloverrock/server.go
+++ b/cmd/cloverrock/server.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"os"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -95,6 +97,31 @@
 	s.gateway.Listed(l.Entries, l.Full)
 }
 
+// signals follows the operators' signals until the program ends.
+func (s *server) signals(c <-chan os.Signal, getenv func(string) string) {
+	for sig := range c {
+		if sig != syscall.SIGHUP {
+			s.loop.Post(s.drain)
+			continue
+		}
+		conf, err := config.Reload(getenv) // here, so that no request waits for the file
+		s.loop.Post(func() { s.reload(conf, err) })
+	}
+}
+
+// reload goes over to a configuration that was read while serving. One that is bad changes nothing.
+func (s *server) reload(conf *config.Config, err error) {
+	if err != nil {
+		s.log.Error().Err(err).Msg("reload: the running configuration stays")
+		return
+	}
+	if keys := s.conf.Fixed(conf); len(keys) > 0 {
+		s.log.Warn().Strs("keys", keys).Msg("reload: these keys need a restart; they stay as they were")
+	}
+	s.log.Info().Str("discovery", conf.Discovery).Msg("reloaded")
+	s.watch.Move(conf.Discovery)
+}
+
 // drain begins the end: new connections are taken for a while yet, what is held is finished, then Run returns.
 func (s *server) drain() {
 	if s.draining {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 	"strings"
 
@@ -46,7 +47,13 @@
 func fault(key, format string, a ...any) error { return &Error{key, fmt.Errorf(format, a...)} }
 
 // Load reads the file that EDGE_CONFIG names. EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY override its keys.
-func Load(getenv func(string) string) (*Config, error) {
+func Load(getenv func(string) string) (*Config, error) { return load(getenv, false) }
+
+// Reload reads the file again while the program runs. The environment is still that of the start, so here the
+// file's own discovery goes before EDGE_DISCOVERY: else no new address would ever be followed.
+func Reload(getenv func(string) string) (*Config, error) { return load(getenv, true) }
+
+func load(getenv func(string) string, again bool) (*Config, error) {
 	path := getenv("EDGE_CONFIG")
 	if path == "" {
 		return nil, fault("EDGE_CONFIG", "not set; it names the configuration file")
@@ -55,11 +62,32 @@
 	if err != nil {
 		return nil, &Error{"EDGE_CONFIG", err}
 	}
-	return Parse(b, getenv)
+	return parse(b, getenv, again)
 }
 
-// Parse reads the configuration's JSON.
-func Parse(b []byte, getenv func(string) string) (*Config, error) {
+// Fixed names the keys in which o differs from c and that only a restart can change.
+func (c *Config) Fixed(o *Config) (keys []string) {
+	for _, k := range [...]struct {
+		key  string
+		same bool
+	}{
+		{"name", c.Name == o.Name}, {"listen", c.Listen == o.Listen},
+		{"limits", c.MemoryMB == o.MemoryMB && c.Sockets == o.Sockets},
+		{"peer_listen, peers or peers_all", reflect.DeepEqual(c.Peer, o.Peer)},
+		{"settings", reflect.DeepEqual(c.Settings, o.Settings) && reflect.DeepEqual(c.Names, o.Names) &&
+			reflect.DeepEqual(c.Classes, o.Classes) && c.IdleClose == o.IdleClose},
+	} {
+		if !k.same {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
+// Parse reads the configuration's JSON as at the start.
+func Parse(b []byte, getenv func(string) string) (*Config, error) { return parse(b, getenv, false) }
+
+func parse(b []byte, getenv func(string) string, again bool) (*Config, error) {
 	var f struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
@@ -85,7 +113,7 @@
 		address  bool
 	}{{"EDGE_NAME", "name", &c.Name, false}, {"EDGE_LISTEN", "listen", &c.Listen, true}, {"EDGE_DISCOVERY", "discovery", &c.Discovery, true}} {
 		key := v.key
-		if s := getenv(v.env); s != "" {
+		if s := getenv(v.env); s != "" && !(again && v.value == &c.Discovery && c.Discovery != "") {
 			*v.value, key = s, v.env
 		}
 		if *v.value == "" && v.address {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -60,3 +62,32 @@
 		t.Errorf("without EDGE_CONFIG: %v", err)
 	}
 }
+
+// At the start EDGE_DISCOVERY goes first; a reload follows the file, for the environment can't have changed.
+func TestReloadFollowsTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := func(k string) string {
+		return map[string]string{"EDGE_CONFIG": path, "EDGE_DISCOVERY": "127.9.0.1:1", "EDGE_NAME": "n9"}[k]
+	}
+	for _, c := range []struct{ old, new, loaded, reloaded string }{
+		{"", "", "127.9.0.1:1", "127.0.0.1:8500"},
+		{`"discovery":"127.0.0.1:8500",`, ``, "127.9.0.1:1", "127.9.0.1:1"},
+	} {
+		if err := os.WriteFile(path, []byte(strings.Replace(good, c.old, c.new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		a, err := Load(env)
+		b, err2 := Reload(env)
+		if err != nil || err2 != nil || a.Discovery != c.loaded || b.Discovery != c.reloaded || b.Name != "n9" {
+			t.Errorf("%q: %+v, %+v, %v, %v", c.new, a, b, err, err2)
+		}
+		if keys := a.Fixed(b); len(keys) > 0 {
+			t.Errorf("%q: %v differ", c.new, keys)
+		}
+	}
+	a, _ := Parse([]byte(good), none)
+	b, _ := Parse([]byte(strings.NewReplacer("127.0.0.4:6543", "127.0.0.5:6543", `"aimMs":500`, `"aimMs":501`, "127.3.0.1", "127.3.0.2", "1024", "512").Replace(good)), none)
+	if got := strings.Join(a.Fixed(b), "; "); got != "listen; limits; peer_listen, peers or peers_all; settings" {
+		t.Errorf("fixed: %s", got)
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -57,6 +57,20 @@
 	w.connect()
 }
 
+// Move follows the list at another address from now on. What was told stays, and the new watch goes on from
+// there; the old one is not waited for, since it may close without telling the last changes.
+func (w *Watch) Move(address string) {
+	if address == w.address {
+		return
+	}
+	w.log.Info().Str("from", w.address).Str("to", address).Msg("discovery: moving")
+	w.address, w.retry = address, minRetry
+	if w.current != nil {
+		w.current.net.Close()
+		w.connect()
+	}
+}
+
 func (w *Watch) connect() {
 	s := &stream{watch: w}
 	w.current = s
