End an answer where it ends: no spoilt or overfull host connection is used again

Also found by reading: a DataRow whose column is shorter than the row counted, any order of messages counted, and a garbled answer's rank, position and report were believed, which explains a stale read. Ruled out: the frontend, which passes on whole answers only. At fault: Data, message and ready in internal/backend/conn.go, FirstColumn and ParseError in internal/pgwire. Change: the messages of an answer must come in their order and fill their frame; lengths are checked on the first bytes; anything behind an answer, in the socket too (loop.Conn.Quiet), ends the connection after the good answer; a begun answer must end within the time to connect; bytes of answers are bounded in total; a report that can't be read or lies ahead of the clock tells nothing. Hosts that the list dropped are forgotten with their connections. Tests: TestSpoiltAnswers, TestNoiseWhileIdle, TestNextHost, TestGoneHostsAreForgotten; with the old conn.go they do not build, and with Quiet always true and the check behind ReadyForQuery taken out the second copy is served.

--- a/cmd/cloverrock/rig_test.go
+++ b/cmd/cloverrock/rig_test.go
@@ -75,6 +75,7 @@
 }
 
 func (h *dbhost) serve(c net.Conn) {
+	h.t.Cleanup(func() { c.Close() }) // the gateway's end goes with it: its loop leaves sockets to the process
 	defer func() { h.closed <- struct{}{} }()
 	defer c.Close()
 	rd := bufio.NewReader(c)
@@ -147,10 +148,13 @@
 	_, _ = q.conn.Write(pgwire.AppendReadyForQuery(b))
 }
 
-func (q *dbquery) answer(value string) {
-	q.end(pgwire.AppendCommandComplete(pgwire.AppendRow(nil, "body", value), "SELECT 1"))
+// row is a value up to its completion.
+func row(value string) []byte {
+	return pgwire.AppendCommandComplete(pgwire.AppendRow(nil, "body", value), "SELECT 1")
 }
 
+func (q *dbquery) answer(value string) { q.end(row(value)) }
+
 func (q *dbquery) refuse(code string) {
 	q.end(pgwire.AppendError(nil, pgwire.Error{Severity: "ERROR", Code: code, Message: "no"}))
 }
@@ -210,12 +214,12 @@
 		}
 		switch m.Type {
 		case 'D':
-			v, _ := pgwire.FirstColumn(m.Body)
+			v, _ := pgwire.OnlyColumn(m.Body)
 			got = append(got, "value", string(v))
 		case 'I':
 			got = append(got, "empty")
 		case 'E':
-			e := pgwire.ParseError(m.Body)
+			e, _ := pgwire.ParseError(m.Body)
 			if got = append(got, "error", e.Code); e.Detail != "" {
 				got = append(got, "after", e.Detail)
 			}
@@ -308,6 +312,7 @@
 			if err != nil {
 				return
 			}
+			r.t.Cleanup(func() { c.Close() })
 			request, _ := bufio.NewReader(c).ReadString('\n')
 			r.conns <- &agent{c, strings.TrimSpace(request)}
 		}
--- a/cmd/cloverrock/serve_test.go
+++ b/cmd/cloverrock/serve_test.go
@@ -483,3 +483,89 @@
 		t.Fatal("does not end")
 	}
 }
+
+// An answer ends where it ends. Whatever a host sends besides, its connection is not used again; a good answer
+// before it counts, a spoilt one has failed and may have run, and the next request gets its own answer.
+func TestSpoiltAnswers(t *testing.T) {
+	r := start(t, 0, func(c *config.Config) { c.Settings.DialTimeout = 200e3 })
+	ready := string(pgwire.AppendReadyForQuery(nil))
+	good, failed := "value v", "error "+pgwire.CodeSystemError
+	whole := string(row("v"))
+	full := string(pgwire.AppendError(nil, pgwire.Error{Severity: "ERROR", Code: pgwire.CodeTooManyConnections, Message: "no"}))
+	status := func(name, value string) string { return string(pgwire.AppendParameterStatus(nil, name, value)) }
+	for name, c := range map[string]struct{ sent, want string }{
+		"a second copy":            {whole + ready + whole + ready, good},
+		"noise behind":             {whole + ready + "\xff\x00noise", good},
+		"one byte behind":          {whole + ready + "T", good},
+		"a refusal behind":         {whole + ready + full + ready, good},
+		"a report without sense":   {status("vitals", "x0=?,x1=1") + status("as_of", "-1e9") + "S\x00\x00\x00\x08open" + whole + ready, good},
+		"noise":                    {"\xde\xad\xbe\xef", failed},
+		"a line":                   {"HTTP/1.1 200 OK\r\n", failed},
+		"noise before the row":     {"!" + whole + ready, failed},
+		"noise for the end":        {whole + "!", failed},
+		"two rows":                 {whole + whole + ready, failed},
+		"a row without its head":   {whole[strings.IndexByte(whole, 'D'):] + ready, failed},
+		"no row":                   {string(pgwire.AppendCommandComplete(nil, "SELECT 0")) + ready, failed},
+		"nothing but ready":        {ready, failed},
+		"3 GB":                     {whole[:strings.IndexByte(whole, 'D')] + "D\xb2\xd0\x5e\x00\x00\x01\xb2\xd0\x5d\xf6vvvv", failed},
+		"length below 4":           {"D\x00\x00\x00\x00", failed},
+		"a value cut short":        {strings.Replace(whole, "\x00\x00\x00\x01v", "\x00\x00\x00\x00v", 1) + ready, failed},
+		"an error without its end": {"E\x00\x00\x00\x0cC53300\x00S" + ready, failed},
+		"a refusal and more":       {full + "T" + ready, failed},
+		"an answer without end":    {whole[:len(whole)-3], failed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cl := r.connect()
+			cl.query(text(writeText, 1))
+			if _, err := r.hosts[0].next().conn.Write([]byte(c.sent)); err != nil {
+				t.Fatal(err)
+			}
+			cl.want(c.want)
+			if name != "a report without sense" {
+				select {
+				case <-r.hosts[0].closed:
+				case <-time.After(limit):
+					t.Fatal("the connection stays open")
+				}
+			}
+			cl.query(text(writeText, 2))
+			r.hosts[0].next().answer("own")
+			cl.want("value own")
+			cl.c.Close()
+		})
+	}
+}
+
+// What a host sends while its connection rests is nobody's answer.
+func TestNoiseWhileIdle(t *testing.T) {
+	r := start(t, 0)
+	cl := r.connect()
+	cl.query(text(writeText, 1))
+	q := r.hosts[0].next()
+	q.answer("v")
+	cl.want("value v")
+	_, _ = q.conn.Write(append(row("late"), pgwire.AppendReadyForQuery(nil)...))
+	cl.query(text(writeText, 2))
+	r.hosts[0].next().answer("own")
+	cl.want("value own")
+}
+
+// Hosts that the list has dropped are forgotten with their connections.
+func TestGoneHostsAreForgotten(t *testing.T) {
+	r := start(t, 1)
+	cl := r.connect()
+	cl.query(text(writeText, 1))
+	r.hosts[0].next().answer("v")
+	cl.want("value v")
+	a := r.watch()
+	a.line(`{"generation":8,"instances":[{"instanceId":"s-0","lifecycle":"DELETED","cell":1}]}`)
+	select {
+	case <-r.hosts[0].closed:
+	case <-time.After(limit):
+		t.Fatal("the connection stays open")
+	}
+	a.line(`{"generation":9,"reset":true,"instances":[]}`)
+	for known := 2; known > 0; {
+		r.do(func() { known = r.s.pool.Known() })
+	}
+}
--- a/cmd/cloverrock/server.go
+++ b/cmd/cloverrock/server.go
@@ -65,7 +65,7 @@
 		Connections: clients, Bytes: conf.MemoryMB << 20 / 5,
 	}, log)
 	s.pool = backend.New(s.loop, s.gateway, backend.Limits{
-		DialTimeout: conf.Settings.DialTimeout, IdleClose: conf.IdleClose, Connections: free - clients,
+		DialTimeout: conf.Settings.DialTimeout, IdleClose: conf.IdleClose, Connections: free - clients, Bytes: conf.MemoryMB << 20 / 8,
 	}, log.Sample(&zerolog.BurstSampler{Burst: 20, Period: time.Second})) // a host that only fails fills no log
 	generation := int64(0)
 	if conf.Known != nil {
@@ -91,9 +91,13 @@
 
 // listed takes a list: addresses first, so that what the module sends at once finds its way.
 func (s *server) listed(l discovery.List) {
-	for id, address := range l.Addresses {
-		s.pool.Address(id, address)
+	var gone []string
+	for _, e := range l.Entries {
+		if e.Phase == balance.Gone {
+			gone = append(gone, e.Host)
+		}
 	}
+	s.pool.List(l.Addresses, gone, l.Full)
 	s.gateway.Listed(l.Entries, l.Full)
 }
 
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -27,6 +27,7 @@
 	DialTimeout int64
 	IdleClose   int64 // the hosts close what has stood idle for so long
 	Connections int   // to all hosts together
+	Bytes       int   // of answers that are not whole yet
 }
 
 // Pool is the connections to all hosts. It belongs to the loop's goroutine.
@@ -36,7 +37,8 @@
 	limits Limits
 	log    zerolog.Logger
 	hosts  map[string]*host
-	open   int // connections, those being dialled included
+	conns  map[*conn]struct{} // those being dialled included
+	held   int                // bytes of answers that are not whole yet
 	out    map[int64]*attempt
 }
 
@@ -46,6 +48,8 @@
 	idle        []*conn // the one used last at the end
 	waiting     []*attempt
 	dialing     int
+	open        int  // connections, those being dialled included
+	gone        bool // the list has dropped it
 }
 
 // attempt is an attempt or a probe on its way.
@@ -61,7 +65,7 @@
 
 // New returns an empty pool.
 func New(l *loop.Loop, events Events, limits Limits, log zerolog.Logger) *Pool {
-	p := &Pool{loop: l, events: events, limits: limits, log: log, hosts: map[string]*host{}, out: map[int64]*attempt{}}
+	p := &Pool{loop: l, events: events, limits: limits, log: log, hosts: map[string]*host{}, out: map[int64]*attempt{}, conns: map[*conn]struct{}{}}
 	p.sweep()
 	return p
 }
@@ -72,25 +76,49 @@
 
 func (p *Pool) sweep() {
 	now := p.loop.Now()
-	for _, h := range p.hosts {
+	for id, h := range p.hosts {
 		for len(h.idle) > 0 && now-h.idle[0].idleAt >= p.keep() {
 			h.idle[0].leave()
 		}
+		if h.gone && h.open == 0 && len(h.waiting) == 0 { // new ones have new ids: they would add up
+			delete(p.hosts, id)
+		}
 	}
 	p.loop.At(now+max(min(p.limits.IdleClose/20, 1e6), 1e4), p.sweep)
 }
 
-// Address notes where a host listens. Connections to another address of it are not used any more.
-func (p *Pool) Address(id, address string) {
-	h := p.hosts[id]
-	if h == nil {
-		p.hosts[id] = &host{id: id, address: address}
-	} else if h.address != address {
-		h.address = address
-		p.CloseIdle(id)
+// List notes where hosts listen and which are gone; of a whole list, those that it lacks. Connections to another
+// address of a host, or to one that is gone, are not used any more.
+func (p *Pool) List(addresses map[string]string, gone []string, whole bool) {
+	if whole {
+		for id := range p.hosts {
+			if _, listed := addresses[id]; !listed {
+				gone = append(gone, id)
+			}
+		}
+	}
+	for id, address := range addresses {
+		h := p.hosts[id]
+		if h == nil {
+			h = &host{id: id}
+			p.hosts[id] = h
+		}
+		if h.gone = false; h.address != address {
+			h.address = address
+			p.CloseIdle(id)
+		}
+	}
+	for _, id := range gone {
+		if h := p.hosts[id]; h != nil {
+			h.gone = true
+			p.CloseIdle(id)
+		}
 	}
 }
 
+// Known is the number of hosts that the pool remembers.
+func (p *Pool) Known() int { return len(p.hosts) }
+
 // Send implements gateway.Hosts.
 func (p *Pool) Send(a gateway.Attempt) {
 	at := &attempt{Attempt: a, host: p.hosts[a.Host], sent: p.loop.Now()}
@@ -133,14 +161,18 @@
 // place puts an attempt on an idle connection, or has it wait for a new one or the first that gets free.
 func (p *Pool) place(at *attempt) {
 	h := at.host
-	if n := len(h.idle); n > 0 {
-		c := h.idle[n-1]
-		h.idle = h.idle[:n-1]
+	for len(h.idle) > 0 {
+		c := h.idle[len(h.idle)-1]
+		if !c.net.Quiet() { // the host has closed it, or sent what would pass for the answer
+			c.close()
+			continue
+		}
+		h.idle = h.idle[:len(h.idle)-1]
 		c.carry(at)
 		return
 	}
 	h.waiting = append(h.waiting, at)
-	if p.open >= p.limits.Connections && !p.evict() {
+	if len(p.conns) >= p.limits.Connections && !p.evict() {
 		p.finishLater(at, balance.Refused)
 		return
 	}
@@ -148,9 +180,10 @@
 }
 
 func (p *Pool) dial(h *host) {
-	p.open++
+	h.open++
 	h.dialing++
 	c := &conn{pool: p, host: h, address: h.address, state: dialing}
+	p.conns[c] = struct{}{}
 	c.timer = p.loop.At(p.loop.Now()+p.limits.DialTimeout, func() { c.broken() })
 	c.net = p.loop.Dial(h.address, c)
 	c.net.Write(pgwire.AppendStartup(nil, "user", "worker", "database", "catalog"))
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -1,6 +1,10 @@
 package backend
 
 import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
 	"strings"
 
 	"cloverrock/balance"
@@ -16,11 +20,12 @@
 	address string
 	net     *loop.Conn
 	state   state
-	timer   *loop.Timer // ends the wait for a new connection
+	timer   *loop.Timer // ends the wait for a new connection, or for the rest of an answer
 	idleAt  int64
 	attempt *attempt
-	in      []byte
+	in      []byte // a message that has begun
 	answer  answer
+	held    int // its part of the pool's
 }
 
 type state uint8
@@ -34,92 +39,165 @@
 
 // answer is what has come so far for the attempt that is out.
 type answer struct {
-	raw      []byte // row description, row and completion, as they came
-	rows     int
-	value    []byte // the last row's column
-	odd      bool   // it is not one row of one column
-	complete bool
-	fault    *pgwire.Error
-	params   map[string]string
+	raw                []byte // row description, row and completion, as they came
+	stage              byte   // type of the last message of its body: 0, then T, D, and C, I or E
+	value              []byte // the row's column
+	fault              *pgwire.Error
+	rank, asOf, vitals string
 }
 
+// over tells that the answer lacks no more than its ReadyForQuery.
+func (a *answer) over() bool { return a.stage == 'C' || a.stage == 'E' || a.stage == 'I' }
+
 // Closed implements loop.Handler.
-func (c *conn) Closed(error) { c.broken() }
+func (c *conn) Closed(error) {
+	if c.state != idle && c.answer.over() && len(c.in) == 0 {
+		c.end(c.outcome()) // only the end of a whole answer is missing, or of one to the startup
+	} else {
+		c.broken()
+	}
+}
 
-// Data implements loop.Handler.
+// Data implements loop.Handler. An answer ends where it ends: whatever else a host sends, it never becomes a part
+// of the next one.
 func (c *conn) Data(b []byte) {
 	if len(c.in) > 0 {
 		b = append(c.in, b...)
 	}
 	c.in = nil
-	for c.state != ended {
-		m, rest, ok, err := pgwire.Next(b)
+	for len(b) > 0 && c.state != ended {
+		if c.state == idle {
+			c.pool.log.Warn().Str("host", c.host.id).Msg("host sent more than its answer")
+			c.close()
+			return
+		}
+		m, rest, ok, err := pgwire.NextHost(b)
+		if err == nil && ok {
+			b = rest
+			err = c.message(m, len(rest) > 0)
+		}
 		if err != nil {
-			c.pool.log.Warn().Str("host", c.host.id).Err(err).Msg("host sent nonsense")
-			c.fail(balance.Errored)
+			c.spoilt(err)
 			return
 		}
 		if !ok {
+			c.in = b
 			break
 		}
-		b = rest
-		c.message(m)
 	}
-	if len(b) > 0 && c.state != ended {
-		c.in = b
+	if c.state == busy && (len(c.in) > 0 || c.answer.stage != 0) {
+		// A host that has begun its answer is at its end soon, or the answer has no end.
+		if c.timer == nil {
+			c.timer = c.pool.loop.At(c.pool.loop.Now()+c.pool.limits.DialTimeout, func() {
+				c.spoilt(errors.New("the answer has begun and does not end"))
+			})
+		}
 	}
+	c.count()
 }
 
-func (c *conn) message(m pgwire.Message) {
+// count brings the pool's number of bytes held up to date. Where it is over its bound, whoever holds most has to go.
+func (c *conn) count() {
+	n := 0
+	if c.state != ended {
+		n = len(c.in) + len(c.answer.raw)
+	}
+	c.pool.held += n - c.held
+	c.held = n
+	if c.pool.held <= c.pool.limits.Bytes {
+		return
+	}
+	most := c
+	for o := range c.pool.conns {
+		if o.held > most.held {
+			most = o
+		}
+	}
+	most.spoilt(errors.New("too much of answers is held"))
+}
+
+// message takes the next message; more tells that the host sent something behind it.
+func (c *conn) message(m pgwire.Message, more bool) error {
 	a := &c.answer
+	wrong := fmt.Errorf("message %q behind %q is not in its place, or can't be read", m.Type, a.stage)
 	switch m.Type {
-	case 'T':
-		a.raw = append(a.raw, m.Raw...)
-		a.odd = a.odd || pgwire.Columns(m.Body) != 1 || a.rows > 0
-	case 'D':
-		a.raw = append(a.raw, m.Raw...)
-		a.rows++
-		value, ok := pgwire.FirstColumn(m.Body)
-		a.value = value
-		a.odd = a.odd || !ok || pgwire.Columns(m.Body) != 1 || a.rows > 1
-	case 'C':
+	case 'T', 'D', 'C', 'I':
+		before := map[byte]byte{'T': 0, 'D': 'T', 'C': 'D', 'I': 0}[m.Type]
+		if c.state != busy || a.stage != before {
+			return wrong
+		}
+		ok := true
+		switch m.Type {
+		case 'T':
+			ok = pgwire.OneColumn(m.Body)
+		case 'D':
+			a.value, ok = pgwire.OnlyColumn(m.Body)
+		case 'C':
+			ok = bytes.IndexByte(m.Body, 0) == len(m.Body)-1
+		}
+		if !ok {
+			return wrong
+		}
+		a.stage = m.Type
 		a.raw = append(a.raw, m.Raw...)
-		a.complete = true
-	case 'I':
-		a.odd = true
 	case 'E':
-		e := pgwire.ParseError(m.Body)
-		a.fault = &e
-		if e.Severity == "FATAL" || e.Severity == "PANIC" || c.state == idle {
-			c.fail(balance.Errored)
+		e, whole := pgwire.ParseError(m.Body)
+		if !whole || a.over() {
+			return wrong
 		}
-	case 'S':
-		if name, rest, ok := pgwire.CString(m.Body); ok && c.state != dialing {
-			if value, _, ok := pgwire.CString(rest); ok {
-				if a.params == nil {
-					a.params = map[string]string{}
+		a.stage, a.fault = 'E', &e
+		if e.Severity == "FATAL" || e.Severity == "PANIC" {
+			if more && c.state == busy {
+				return wrong
+			}
+			c.end(c.outcome())
+		}
+	case 'S': // one that can't be read tells nothing, and spoils nothing
+		if name, rest, ok := pgwire.CString(m.Body); ok {
+			if value, rest, ok := pgwire.CString(rest); ok && len(rest) == 0 {
+				switch name {
+				case "rank":
+					a.rank = value
+				case "as_of":
+					a.asOf = value
+				case "vitals":
+					a.vitals = value
 				}
-				a.params[name] = value
 			}
 		}
 	case 'R':
-		if len(m.Body) != 4 || string(m.Body) != "\x00\x00\x00\x00" {
-			a.fault = &pgwire.Error{Severity: "FATAL", Message: "host asks for a password"}
-			c.fail(balance.Errored)
+		if c.state != dialing || string(m.Body) != "\x00\x00\x00\x00" {
+			return wrong
 		}
 	case 'Z':
-		c.ready()
+		if m.Body[0] != 'I' || c.state == busy && !a.over() {
+			return wrong
+		}
+		c.ready(more)
+	case 'K', 'v':
+		if c.state != dialing {
+			return wrong
+		}
 	}
+	return nil
 }
 
-// ready takes the end of the startup or of an answer.
-func (c *conn) ready() {
-	switch c.state {
-	case dialing:
+// ready takes the end of the startup or of an answer. Where anything came behind it, the answer before counts and
+// the connection has seen its last request: what came might be taken for the answer to the next.
+func (c *conn) ready(more bool) {
+	c.timer.Stop()
+	c.timer = nil
+	more = more || !c.net.Quiet()
+	switch {
+	case c.state == dialing && !more:
 		c.host.dialing--
-		c.timer.Stop()
 		c.free()
-	case busy:
+	case c.state == dialing:
+		c.spoilt(errors.New("more than a welcome"))
+	case more:
+		c.pool.log.Warn().Str("host", c.host.id).Msg("host sent more than its answer")
+		c.end(c.outcome())
+	default:
 		// The next request may be waiting for this connection, so it is free before the outcome is told.
 		at, o := c.attempt, c.outcome()
 		at.conn, c.attempt = nil, nil
@@ -132,7 +210,7 @@
 func (c *conn) free() {
 	c.answer = answer{}
 	h := c.host
-	if c.address != h.address {
+	if c.address != h.address || h.gone {
 		c.leave()
 		return
 	}
@@ -165,51 +243,59 @@
 // outcome reads what a whole answer tells.
 func (c *conn) outcome() gateway.Outcome {
 	a, o := &c.answer, gateway.Outcome{}
-	commit := c.attempt != nil && c.attempt.Write && a.fault == nil
 	switch {
 	case a.fault != nil:
 		if o.Result = outcome(*a.fault); o.Result == balance.Errored {
 			c.pool.log.Warn().Str("host", c.host.id).Str("code", a.fault.Code).Str("message", a.fault.Message).Msg("host error")
+			if c.state == dialing {
+				o.Result = balance.Refused // nothing was sent yet
+			}
 		}
-	case !a.complete || a.odd || a.rows != 1:
-		c.pool.log.Warn().Str("host", c.host.id).Int("rows", a.rows).Msg("answer is not one row of one column")
+	case a.stage != 'C':
+		c.pool.log.Warn().Str("host", c.host.id).Msg("answer without a row")
 		o.Result = balance.Errored
 	default:
 		o.Result, o.Value = balance.Served, a.raw
 	}
-	switch a.params["rank"] {
+	switch a.rank {
 	case "source":
 		o.Role = balance.Primary
 	case "copy":
 		o.Role = balance.Replica
 	}
-	if s := a.params["as_of"]; s != "" {
-		// A write's answer gives its commit, which only a position that is no less has reached.
-		if position, err := pgwire.Decimal(s, 3, commit); err == nil {
-			o.Position = position
-		}
+	latest := c.pool.loop.Now() + ahead
+	// A write's answer gives its commit, which only a position that is no less has reached.
+	commit := c.attempt != nil && c.attempt.Write && a.fault == nil
+	if position, err := pgwire.Decimal(a.asOf, 3, commit); err == nil && position <= latest {
+		o.Position = position
 	}
-	vitals := a.params["vitals"]
 	if c.attempt != nil && c.attempt.probe && o.Result == balance.Served {
-		vitals = string(a.value)
+		a.vitals = string(a.value)
 	}
-	o.Report = report(vitals)
+	o.Report = report(a.vitals, latest)
 	return o
 }
 
-// report reads names and values; those that it does not know, or cannot read, are left out.
-func report(s string) (r balance.Report) {
+// ahead is how far beyond our own clock a position may lie. All read the same clock, so more is no position, and
+// to believe it would have a replica serve whatever it holds.
+const ahead = 1e6
+
+// report reads names and values; names that it does not know are left out. One that can't be read in any part, or
+// names a position after latest, tells nothing at all.
+func report(s string, latest int64) (r balance.Report) {
 	for s != "" {
 		var part string
 		part, s, _ = strings.Cut(s, ",")
 		name, value, _ := strings.Cut(part, "=")
 		micro, err := pgwire.Decimal(strings.TrimSpace(value), 6, false)
 		if err != nil {
-			continue
+			return balance.Report{}
 		}
 		switch strings.TrimSpace(name) {
 		case "x0":
-			r.HasPosition, r.Position = true, micro
+			if r.HasPosition, r.Position = true, micro; micro > latest {
+				return balance.Report{}
+			}
 		case "x1":
 			r.HasRole, r.Primary = true, micro >= 5e5
 		case "rif", "inflight":
@@ -223,27 +309,32 @@
 
 // broken takes the end of the connection. What was out on it may have run if its last byte was written.
 func (c *conn) broken() {
-	switch {
-	case c.state == busy && c.answer.complete && c.answer.fault == nil:
-		c.fail(balance.Served) // only the end of the answer is missing
-	case c.state == busy && c.net.Flushed():
-		c.fail(balance.Reset)
-	default:
-		c.fail(balance.Refused)
+	o := gateway.Outcome{Result: balance.Refused}
+	if c.state == busy && c.net.Flushed() {
+		o.Result = balance.Reset
 	}
+	c.end(o)
 }
 
-// fail closes the connection and ends what it carried, or the attempt that has waited longest for it.
-func (c *conn) fail(result balance.Result) {
-	was := c.state
-	if was == ended {
+// spoilt ends a connection on which something came that is no answer. The request has run, or may have; what the
+// host said of itself along with it is worth nothing.
+func (c *conn) spoilt(err error) {
+	if c.state == ended {
 		return
 	}
-	at, o := c.attempt, gateway.Outcome{Result: result}
-	if c.answer.fault != nil || result == balance.Served {
-		if o = c.outcome(); o.Result == balance.Errored && was != busy {
-			o.Result = balance.Refused // nothing was sent yet
-		}
+	c.pool.log.Warn().Str("host", c.host.id).Err(err).Msg("host sent nonsense")
+	o := gateway.Outcome{Result: balance.Errored}
+	if c.state == dialing {
+		o.Result = balance.Refused
+	}
+	c.end(o)
+}
+
+// end closes the connection and ends what it carried, or the attempt that has waited longest for it.
+func (c *conn) end(o gateway.Outcome) {
+	was, at := c.state, c.attempt
+	if was == ended {
+		return
 	}
 	c.close()
 	if h := c.host; was == dialing && len(h.waiting) > h.dialing {
@@ -268,16 +359,16 @@
 		return
 	case dialing:
 		h.dialing--
-		c.timer.Stop()
 	case idle:
-		for i, o := range h.idle {
-			if o == c {
-				h.idle = append(h.idle[:i], h.idle[i+1:]...)
-				break
-			}
+		if i := slices.Index(h.idle, c); i >= 0 {
+			h.idle = slices.Delete(h.idle, i, i+1)
 		}
 	}
 	c.state = ended
-	c.pool.open--
+	c.timer.Stop()
+	h.open--
+	delete(c.pool.conns, c)
+	c.in = nil
+	c.count()
 	c.net.Close()
 }
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -20,6 +20,8 @@
 
 	queued  int64        // bytes given to Write
 	written atomic.Int64 // bytes that the kernel has taken
+	loop    *Loop
+	unread  int // reads that the handler has yet to be told of; under the loop's lock
 }
 
 // Dial begins to open a connection. What is written meanwhile goes out once it is up; a handler that waits for
@@ -29,7 +31,7 @@
 // and so connects to 0.0.0.0 whatever the address is, and it hands out the connection only when it is up, so
 // that one which never comes up cannot be closed.
 func (l *Loop) Dial(address string, h Handler) *Conn {
-	c := &Conn{handler: h}
+	c := &Conn{loop: l, handler: h}
 	if err := l.connect(c, address); err != nil {
 		l.post(event{conn: c, kind: closed, err: fmt.Errorf("dial %s: %w", address, err)})
 	}
@@ -66,6 +68,9 @@
 	}
 	nb.SetSession(c) // before the engine sees it: a connection without one counts as accepted
 	c.nb = nb
+	l.mu.Lock() // the poller meets the connection in the engine's table, which has no lock: this orders the two
+	c.unread = 0
+	l.mu.Unlock()
 	_, err = l.engine.AddConn(nb)
 	return err
 }
@@ -86,6 +91,29 @@
 // Unwritten is the number of bytes that the kernel has yet to take.
 func (c *Conn) Unwritten() int64 { return c.queued - c.written.Load() }
 
+// Quiet tells that the peer has sent nothing that the handler was not told, its end included. It looks into the
+// socket itself: what has arrived there may be some time away from the handler.
+func (c *Conn) Quiet() bool {
+	if c.closed || c.nb == nil {
+		return false
+	}
+	c.loop.mu.Lock()
+	unread := c.unread
+	c.loop.mu.Unlock()
+	if unread > 0 {
+		return false
+	}
+	raw, err := c.nb.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peeked error
+	err = raw.Control(func(fd uintptr) {
+		_, _, peeked = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && errors.Is(peeked, syscall.EAGAIN)
+}
+
 // Close ends the connection; the handler is told nothing more.
 func (c *Conn) Close() {
 	if c.closed {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -94,7 +94,7 @@
 		if _, udp := nb.RemoteAddr().(*net.UDPAddr); udp || nb.Session() != nil {
 			return
 		}
-		c := &Conn{nb: nb}
+		c := &Conn{loop: l, nb: nb}
 		nb.SetSession(c)
 		l.post(event{call: func() { c.handler = accept(c) }})
 	})
@@ -145,6 +145,9 @@
 	for ev.kind == read && l.bytes > backlog {
 		l.room.Wait()
 	}
+	if ev.kind == read {
+		ev.conn.unread++
+	}
 	l.queue = append(l.queue, ev)
 	l.bytes += len(ev.data)
 	l.mu.Unlock()
@@ -193,6 +196,11 @@
 
 func (l *Loop) handle(ev *event) {
 	c := ev.conn
+	if ev.kind == read {
+		l.mu.Lock()
+		c.unread--
+		l.mu.Unlock()
+	}
 	switch {
 	case ev.call != nil:
 		ev.call()
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -15,6 +15,9 @@
 	// MaxMessage bounds any other: a value of 64 KiB, written as text in a statement, with room to spare.
 	MaxMessage = 256 << 10
 
+	// MaxValue bounds a value that a host returns.
+	MaxValue = 64 << 10
+
 	// ProtocolVersion is 3.0.
 	ProtocolVersion = 3 << 16
 	// Codes that a client may send in place of a version.
@@ -67,6 +70,34 @@
 	return Message{Type: b[0], Body: b[5 : n+1], Raw: b[:n+1]}, b[n+1:], true, nil
 }
 
+// hostSizes are the least and the most that the length of a host's messages may say. A host that sends
+// anything else, or a length that its message can't have, sends nonsense, and is not waited for until it is whole.
+var hostSizes = map[byte][2]uint32{
+	'R': {8, 64}, 'K': {8, 1 << 10}, 'v': {12, 1 << 10}, 'S': {6, 4 << 10}, 'N': {5, 8 << 10}, 'A': {10, 8 << 10},
+	'T': {6, 1 << 10}, 'D': {6, MaxValue + 10}, 'C': {5, 64}, 'I': {4, 4}, 'E': {5, 8 << 10}, 'Z': {5, 5},
+}
+
+// NextHost is Next for what comes from a host: it fails as soon as the bytes can't become a message.
+func NextHost(b []byte) (m Message, rest []byte, ok bool, err error) {
+	if len(b) == 0 {
+		return m, b, false, nil
+	}
+	size, known := hostSizes[b[0]]
+	if !known {
+		return m, b, false, fmt.Errorf("unknown message %q", b[0])
+	}
+	if len(b) >= 5 {
+		n := binary.BigEndian.Uint32(b[1:])
+		if n < size[0] || n > size[1] {
+			return m, b, false, fmt.Errorf("message %q: %w", b[0], ErrLength)
+		}
+		if b[0] == 'D' && len(b) >= 11 && (Columns(b[5:]) != 1 || uint64(binary.BigEndian.Uint32(b[7:]))+10 != uint64(n)) {
+			return m, b, false, fmt.Errorf("message %q: not one column that fills it", b[0])
+		}
+	}
+	return Next(b)
+}
+
 // Startup is the first message of a connection.
 type Startup struct {
 	Code   uint32 // the protocol's version, or a request's code
@@ -208,13 +239,14 @@
 	return end(append(b, 0), at)
 }
 
-// ParseError reads the body of an ErrorResponse; fields that it does not know are skipped.
-func ParseError(body []byte) (e Error) {
+// ParseError reads the body of an ErrorResponse; fields that it does not know are skipped. It tells whether the
+// body is whole, names a code of five characters and has nothing behind its end.
+func ParseError(body []byte) (e Error, whole bool) {
 	for len(body) > 0 && body[0] != 0 {
 		field := body[0]
 		value, rest, ok := CString(body[1:])
 		if !ok {
-			return e
+			return e, false
 		}
 		switch field {
 		case 'S':
@@ -228,7 +260,7 @@
 		}
 		body = rest
 	}
-	return e
+	return e, len(body) == 1 && len(e.Code) == 5 && e.Severity != ""
 }
 
 // Columns is the number of columns in the body of a RowDescription or DataRow; -1 if there is none.
@@ -239,16 +271,22 @@
 	return int(binary.BigEndian.Uint16(body))
 }
 
-// FirstColumn is the value of a DataRow's first column.
-func FirstColumn(body []byte) ([]byte, bool) {
-	if len(body) < 6 {
-		return nil, false
+// OneColumn tells whether the body of a RowDescription describes one column and nothing else.
+func OneColumn(body []byte) bool {
+	if Columns(body) != 1 {
+		return false
 	}
-	n := int32(binary.BigEndian.Uint32(body[2:]))
-	if n < 0 || int(n) > len(body)-6 {
+	_, rest, ok := CString(body[2:])
+	return ok && len(rest) == 18
+}
+
+// OnlyColumn is the value of a DataRow that has one column, which fills it.
+func OnlyColumn(body []byte) ([]byte, bool) {
+	if Columns(body) != 1 || len(body) < 6 {
 		return nil, false
 	}
-	return body[6 : 6+n], true
+	n := int32(binary.BigEndian.Uint32(body[2:]))
+	return body[6:], n >= 0 && int(n) == len(body)-6
 }
 
 // Decimal reads a decimal number without a sign as a whole number of units of 10^-scale, rounded down or up.
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -31,6 +31,43 @@
 	}
 }
 
+func TestNextHost(t *testing.T) {
+	row := string(AppendRow(nil, "body", "value"))
+	data := row[strings.IndexByte(row, 'D'):]
+	for name, c := range map[string]struct {
+		in      string
+		ok, bad bool
+	}{
+		"nothing":                 {},
+		"type alone":              {in: "D"},
+		"whole":                   {in: row, ok: true},
+		"ready":                   {in: "Z\x00\x00\x00\x05I", ok: true},
+		"noise":                   {in: "\x00", bad: true},
+		"a client's message":      {in: "Q", bad: true},
+		"3 GB":                    {in: "D\xb2\xd0\x5e\x00", bad: true},
+		"ready too long":          {in: "Z\x00\x00\x00\x06I", bad: true},
+		"below its least":         {in: "T\x00\x00\x00\x04", bad: true},
+		"value begun":             {in: data[:12]},
+		"value shorter":           {in: data[:10] + "\x04" + data[11:], bad: true},
+		"value longer":            {in: data[:10] + "\x06" + data[11:], bad: true},
+		"value of 3 GB":           {in: data[:7] + "\xb2\xd0\x5e\x00", bad: true},
+		"two columns":             {in: data[:6] + "\x02" + data[7:], bad: true},
+		"null":                    {in: "D\x00\x00\x00\x0a\x00\x01\xff\xff\xff\xff", bad: true},
+		"the largest value":       {in: string(AppendRow(nil, "body", strings.Repeat("v", MaxValue))), ok: true},
+		"larger than the largest": {in: "D\x00\x01\x00\x0b", bad: true},
+	} {
+		if _, _, ok, err := NextHost([]byte(c.in)); ok != c.ok || (err != nil) != c.bad {
+			t.Errorf("%s: %v, %v", name, ok, err)
+		}
+	}
+	if v, ok := OnlyColumn([]byte(data[5:])); string(v) != "value" || !ok {
+		t.Errorf("value is %q, %v", v, ok)
+	}
+	if head := []byte(row[5:strings.IndexByte(row, 'D')]); !OneColumn(head) || OneColumn(head[:len(head)-1]) || OneColumn(append(head, 0)) {
+		t.Error("description of one column")
+	}
+}
+
 func TestNextStartup(t *testing.T) {
 	whole := string(AppendStartup(nil, "user", "worker", "database", "catalog"))
 	for name, c := range map[string]struct {
@@ -134,10 +171,15 @@
 func TestErrorRoundTrip(t *testing.T) {
 	want := Error{Severity: "ERROR", Code: CodeTooManyConnections, Message: "full", Detail: "150"}
 	m, _, _, _ := Next(AppendError(nil, want))
-	if d := cmp.Diff(want, ParseError(m.Body)); m.Type != 'E' || d != "" {
-		t.Error(d)
+	got, whole := ParseError(m.Body)
+	if d := cmp.Diff(want, got); m.Type != 'E' || d != "" || !whole {
+		t.Error(whole, d)
+	}
+	for _, bad := range []string{"", "Sopen", "\x00", "SERROR\x00C53300\x00", "SERROR\x00C53300\x00\x00more", "SERROR\x00C5330\x00\x00", "C53300\x00\x00"} {
+		if e, whole := ParseError([]byte(bad)); whole {
+			t.Errorf("%q is taken as %+v", bad, e)
+		}
 	}
-	ParseError([]byte("Sopen")) // a field without an end is no reason to fall
 }
 
 func FuzzMessages(f *testing.F) {
@@ -150,7 +192,8 @@
 		_, _, _, _ = NextStartup(b)
 		if m, _, ok, _ := Next(b); ok {
 			ParseError(m.Body)
-			FirstColumn(m.Body)
+			OnlyColumn(m.Body)
+			OneColumn(m.Body)
 		}
 	})
 }
