Give silent and overfull clients limits, and check what a comment says

By reading: a silent client or one that stops in mid-message met no limit; hundreds of commands were answered one by one; over the bound of bytes held the client that came was ended, whoever held them; any number of a group was remembered by the module for good. Ruled out: memory and descriptors, at 11 of 64 MB and 257 of 384. At fault: Accept, Data and query in internal/frontend/frontend.go, ParseQuery, groupOf in Router.request. Tests, each seen to fail without its change: TestSilentClientsAreClosed, TestSilentClientsCrowdNobodyOut, TestOpenIDIsNotTakenAgain, TestHeldBytesAreBounded, TestBadInput, TestUnknownGroupIsRefusedAtOnce, TestQuiet.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -269,9 +269,13 @@
 	return h
 }
 
-func (r *Router) groupOf(id int64) *group {
+func (r *Router) findGroup(id int64) (int, bool) {
 	byID := func(g *group, id int64) int { return cmp.Compare(g.id, id) }
-	i, known := slices.BinarySearchFunc(r.groups, id, byID)
+	return slices.BinarySearchFunc(r.groups, id, byID)
+}
+
+func (r *Router) groupOf(id int64) *group {
+	i, known := r.findGroup(id)
 	if !known {
 		r.groups = slices.Insert(r.groups, i, &group{id: id})
 	}
@@ -489,12 +493,14 @@
 // ---- Requests ----
 
 func (r *Router) request(ev *Event) {
-	if ev.Class < 0 || ev.Class >= len(r.set.Classes) {
-		r.act(Action{Kind: RefuseAction, Request: ev.Request})
+	// A group that no list has named has no host to wait for, and anyone may ask for any number of such.
+	i, known := r.findGroup(ev.Group)
+	if !known || ev.Class < 0 || ev.Class >= len(r.set.Classes) {
+		r.act(Action{Kind: RefuseAction, Request: ev.Request, RetryAfter: r.set.MaxRetryAfter})
 		return
 	}
 	c := &r.set.Classes[ev.Class]
-	q := &request{id: ev.Request, class: c, kind: ev.Class, group: r.groupOf(ev.Group),
+	q := &request{id: ev.Request, class: c, kind: ev.Class, group: r.groups[i],
 		key: ev.Key, hasKey: ev.HasKey, until: ev.Until, halfAt: r.now + (ev.Until-r.now)/2}
 	q.aimAt = min(r.now+c.Aim+int64(c.AimStretch*float64(ev.Hint)), q.until)
 	if c.Need == OwnWrite && !r.set.Carried {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -977,11 +977,19 @@
 	}
 }
 
-func TestUnknownGroupIsAnsweredInTime(t *testing.T) {
+// No list has named it, so there is nobody to wait for, and a thousand such numbers must not be remembered.
+func TestUnknownGroupIsRefusedAtOnce(t *testing.T) {
 	g := readyRig(t, testSettings())
-	id, _ := g.next+1, g.do(Event{Kind: RequestEvent, Request: g.next + 1, Class: recent, Group: 99, Until: g.now + 1000*ms})
-	if find(g.wait(1000*ms), RefuseAction, id) == nil {
-		t.Error("a read of a group without hosts got no final answer")
+	groups := len(g.r.groups)
+	for n := int64(99); n < 1099; n++ {
+		id := g.next + n
+		acts := g.do(Event{Kind: RequestEvent, Request: id, Class: recent, Group: n, Until: g.now + 1000*ms})
+		if a := find(acts, RefuseAction, id); a == nil || a.RetryAfter == 0 {
+			t.Fatal("a read of a group without hosts was not refused with a time to come back")
+		}
+	}
+	if len(g.r.groups) != groups || len(g.r.reqs) != 0 {
+		t.Errorf("%d groups and %d requests are remembered", len(g.r.groups), len(g.r.reqs))
 	}
 }
 
--- a/cmd/cloverrock/main.go
+++ b/cmd/cloverrock/main.go
@@ -78,7 +78,7 @@
 	log := zerolog.New(diag).Level(least).With().Timestamp().Str("gateway", conf.Name).Logger()
 	signals := make(chan os.Signal, 8) // room, so that a SIGTERM behind some SIGHUPs is not dropped
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	s, err := newServer(conf, log)
+	s, err := newServer(conf, patience{silence, resting}, log)
 	if err != nil {
 		log.Error().Err(err).Msg("cannot start")
 		return 1
--- a/cmd/cloverrock/rig_test.go
+++ b/cmd/cloverrock/rig_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -229,6 +231,14 @@
 	}
 }
 
+// ends waits for the end. A client that went on sending may see a reset, which takes with it what was said last.
+func (cl *client) ends() {
+	cl.t.Helper()
+	if _, err := io.Copy(io.Discard, cl.rd); errors.Is(err, os.ErrDeadlineExceeded) {
+		cl.t.Fatal("the connection stays open")
+	}
+}
+
 // want fails the test unless the next answer is the given one.
 func (cl *client) want(answer string) {
 	cl.t.Helper()
@@ -239,13 +249,14 @@
 
 // rig is a gateway with hosts and a discovery that the test plays.
 type rig struct {
-	t       *testing.T
-	s       *server // nil where a test runs the whole program
-	address string
-	ended   chan struct{}
-	disc    net.Listener
-	conns   chan *agent
-	hosts   []*dbhost
+	t        *testing.T
+	s        *server // nil where a test runs the whole program
+	address  string
+	patience patience // endless, unless a test is about it
+	ended    chan struct{}
+	disc     net.Listener
+	conns    chan *agent
+	hosts    []*dbhost
 }
 
 // agent is discovery's end of one watch.
@@ -290,7 +301,7 @@
 // play sets up one primary, s-0, so many replicas, and discovery, without a gateway.
 func play(t *testing.T, replicas int) *rig {
 	t.Helper()
-	r := &rig{t: t, ended: make(chan struct{}), conns: make(chan *agent, 16)}
+	r := &rig{t: t, ended: make(chan struct{}), conns: make(chan *agent, 16), patience: patience{3600e6, 3600e6}}
 	for i := 0; i <= replicas; i++ {
 		r.hosts = append(r.hosts, newHost(t, i == 0))
 	}
@@ -336,7 +347,12 @@
 // start runs a gateway before one primary, s-0, and so many replicas.
 func start(t *testing.T, replicas int, change ...func(*config.Config)) *rig {
 	t.Helper()
-	r := play(t, replicas)
+	return play(t, replicas).start(change...)
+}
+
+func (r *rig) start(change ...func(*config.Config)) *rig {
+	t := r.t
+	t.Helper()
 	conf, err := config.Parse(r.file(r.disc.Addr()), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
@@ -344,7 +360,7 @@
 	for _, f := range change {
 		f(conf)
 	}
-	if r.s, err = newServer(conf, zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.ErrorLevel)); err != nil {
+	if r.s, err = newServer(conf, r.patience, zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.ErrorLevel)); err != nil {
 		t.Fatal(err)
 	}
 	go func() {
--- a/cmd/cloverrock/serve_test.go
+++ b/cmd/cloverrock/serve_test.go
@@ -242,7 +242,11 @@
 		want []string
 	}{
 		"no comment":        {in: pgwire.AppendQuery(nil, "SELECT 1"), want: []string{"error 42601"}},
-		"unknown class":     {in: pgwire.AppendQuery(nil, "/* c=x,cluster=1 */ SELECT 1"), want: []string{"error 42601"}},
+		"unknown class":     {in: pgwire.AppendQuery(nil, "/* id=1,c=x,cluster=1 */ SELECT 1"), want: []string{"error 42601"}},
+		"unknown group":     {in: pgwire.AppendQuery(nil, "/* id=1,c=lookup,cluster=9 */ SELECT 1"), want: []string{"error 53300 after 1000"}},
+		"write that reads":  {in: pgwire.AppendQuery(nil, "/* id=1,c=change,cluster=1 */ SELECT 1"), want: []string{"error 42601"}},
+		"read that writes":  {in: pgwire.AppendQuery(nil, "/* id=1,c=lookup,cluster=1 */ INSERT INTO objects VALUES ('k')"), want: []string{"error 42601"}},
+		"commit to come":    {in: pgwire.AppendQuery(nil, "/* id=1,c=own,cluster=1,after=99999999999999 */ SELECT 1"), want: []string{"error 42601"}},
 		"extended query":    {in: bytes.Join([][]byte{message('P', "\x00\x00\x00\x00"), message('E', "\x00\x00\x00\x00\x00"), message('S', "")}, nil), want: []string{"error 0A000"}},
 		"function call":     {in: message('F', ""), want: []string{"error 0A000"}},
 		"setting":           {in: pgwire.AppendQuery(nil, "SET a = 1"), want: []string{""}},
@@ -256,7 +260,7 @@
 		"old protocol":      {raw: []byte("\x00\x00\x00\x08\x00\x02\x00\x00"), want: []string{"error 0A000 closed"}},
 		"cancel":            {raw: []byte("\x00\x00\x00\x10\x04\xd2\x16\x2e\x00\x00\x00\x00\x00\x00\x00\x00"), want: []string{"closed"}},
 		"newer minor":       {raw: []byte("\x00\x00\x00\x09\x00\x03\x00\x02\x00"), want: []string{""}},
-		"too many at once":  {in: bytes.Repeat(pgwire.AppendQuery(nil, text(writeText, 1)), 400), want: nil},
+		"too many at once":  {in: bytes.Repeat(pgwire.AppendQuery(nil, text(writeText, 1)), 400), want: []string{"ends"}},
 		"leaves in silence": {in: pgwire.AppendTerminate(nil), want: []string{"closed"}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -270,7 +274,11 @@
 			}
 			cl.t = t
 			for _, want := range c.want {
-				cl.want(want)
+				if want == "ends" {
+					cl.ends()
+				} else {
+					cl.want(want)
+				}
 			}
 			cl.c.Close()
 		})
@@ -569,3 +577,77 @@
 		r.do(func() { known = r.s.pool.Known() })
 	}
 }
+
+// The id of a request that is owed an answer belongs to it: another under it gets an error and goes to no host.
+func TestOpenIDIsNotTakenAgain(t *testing.T) {
+	r := start(t, 0)
+	cl, other := r.connect(), r.connect()
+	cl.query(text(writeText, 1))
+	held := r.hosts[0].next()
+	other.query(text(writeText, 1))
+	other.want("error 42601")
+	held.answer("v")
+	cl.want("value v")
+	other.query(text(writeText, 1)) // it is free again
+	r.hosts[0].next().answer("w")
+	other.want("value w")
+}
+
+// Clients that say nothing, stop in their startup or in a message are closed, and so is one that rests too long; a
+// request under way goes on.
+func TestSilentClientsAreClosed(t *testing.T) {
+	r := play(t, 0)
+	r.patience = patience{50e3, 100e3}
+	r.start()
+	busy := r.dial() // its query comes with the startup: a later one might find the time over
+	busy.write(pgwire.AppendQuery(pgwire.AppendStartup(nil, "user", "worker"), text(writeText, 1)))
+	busy.want("")
+	held := r.hosts[0].next()
+	startup := pgwire.AppendStartup(nil, "user", "worker")
+	for _, said := range [][]byte{nil, startup[:9], startup, append(startup, "Q\x00\x00\x00\x20/* id"...)} {
+		cl := r.dial()
+		cl.write(said)
+		if len(said) >= len(startup) {
+			cl.want("")
+		}
+		cl.want("closed")
+	}
+	held.answer("v")
+	busy.want("value v")
+	busy.want("closed")
+}
+
+// Any number of silent connections leaves the clients that ask theirs.
+func TestSilentClientsCrowdNobodyOut(t *testing.T) {
+	r := start(t, 0, func(c *config.Config) { c.Sockets = reserved + 8 }) // 4 clients
+	var usual []*client
+	for id := 0; id < 2; id++ {
+		usual = append(usual, r.connect())
+		usual[id].query(text(writeText, id))
+		r.hosts[0].next().answer("v")
+		usual[id].want("value v")
+	}
+	silent := []*client{r.connect(), r.connect()}
+	for range 10 {
+		silent = append(silent, r.connect())
+		silent[0].want("closed")
+		silent = silent[1:]
+	}
+	for id, cl := range usual {
+		cl.query(text(writeText, 10+id))
+		r.hosts[0].next().answer("w")
+		cl.want("value w")
+	}
+}
+
+// What clients have begun and not ended is bounded in all: the one that holds most has to go, not the one that comes.
+func TestHeldBytesAreBounded(t *testing.T) {
+	r := start(t, 0, func(c *config.Config) { c.MemoryMB = 1 }) // 128 KiB
+	usual, large := r.connect(), r.connect()
+	usual.query(text(writeText, 1))
+	held := r.hosts[0].next()
+	large.write(append([]byte("Q\x00\x03\xff\x00"), bytes.Repeat([]byte("x"), 160<<10)...))
+	large.ends()
+	held.answer("v")
+	usual.want("value v")
+}
--- a/cmd/cloverrock/server.go
+++ b/cmd/cloverrock/server.go
@@ -24,6 +24,10 @@
 	overlap = 500_000
 	// grace is added to the longest deadline before the program ends with whatever is still out.
 	grace = 100_000
+	// A client that connects and says nothing, or stops within a message, is owed a close within 3 s. One that rests
+	// may be closed after 2 s; it is kept longer, as long as there is room.
+	silence = 2_000_000
+	resting = 10_000_000
 	// descriptors that neither clients nor hosts take: standard streams, engine, listener, discovery, peers,
 	// and connections on their way in or out.
 	reserved = 40
@@ -48,7 +52,10 @@
 // Call implements gateway.Clock.
 func (c clock) Call(at int64, f func()) { c.At(at, f) }
 
-func newServer(conf *config.Config, log zerolog.Logger) (*server, error) {
+// patience is how long clients may be silent, and rest.
+type patience struct{ silence, resting int64 }
+
+func newServer(conf *config.Config, p patience, log zerolog.Logger) (*server, error) {
 	// A gateway has one core. With two threads at a time a request took 107 us to its first attempt and 1.0 s of
 	// CPU went into a calm day; with one, 76 us and 0.7 s.
 	runtime.GOMAXPROCS(1)
@@ -57,12 +64,12 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{conf: conf, log: log, loop: loop.New(conf.Sockets, log), overlap: overlap}
+	s := &server{conf: conf, log: log, loop: loop.New(conf.Sockets, conf.MemoryMB<<20/16, log), overlap: overlap}
 	s.gateway = gateway.New(router, clock{s.loop}, log)
 	free := conf.Sockets - reserved
 	clients := free * 11 / 20
 	s.frontend = frontend.New(s.loop, s.gateway, conf.Classes, frontend.Limits{
-		Connections: clients, Bytes: conf.MemoryMB << 20 / 5,
+		Connections: clients, Bytes: conf.MemoryMB << 20 / 8, Silence: p.silence, Resting: p.resting,
 	}, log)
 	s.pool = backend.New(s.loop, s.gateway, backend.Limits{
 		DialTimeout: conf.Settings.DialTimeout, IdleClose: conf.IdleClose, Connections: free - clients, Bytes: conf.MemoryMB << 20 / 8,
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -4,7 +4,6 @@
 
 import (
 	"container/list"
-	"errors"
 	"fmt"
 
 	"github.com/rs/zerolog"
@@ -15,13 +14,16 @@
 )
 
 const (
-	maxPipelined   = 256      // commands of one client that wait for their turn
+	maxPipelined   = 64       // commands of one client that wait for their turn
 	maxUnread      = 64 << 10 // bytes of answers that a client has not read before its next command waits
 	surplusClients = 16       // connections beyond the limit that are told so
-)
 
-// errTooMuch ends a connection on which more was sent ahead than can be held.
-var errTooMuch = errors.New("too much sent ahead of the answers")
+	sweep    = 1e5 // pace of the look at all clients
+	settle   = 1e5 // a message that goes on coming is whole by then
+	farewell = 1e6 // for the last error to be read
+
+	farAhead = 60e6 // a commit that a read must see lies no further ahead: clocks differ, but not so much
+)
 
 // Gateway takes requests.
 type Gateway interface {
@@ -40,7 +42,9 @@
 // Limits bound what the clients together may take.
 type Limits struct {
 	Connections int
-	Bytes       int // of commands that wait for their turn, and of messages begun
+	Bytes       int   // of requests, of commands that wait for their turn and of messages begun; as much of answers unread
+	Silence     int64 // for a client to say something after it connected, and to end a message that it has begun
+	Resting     int64 // between requests, as long as there is room
 }
 
 // Server is all client connections. It belongs to the loop's goroutine.
@@ -51,23 +55,54 @@
 	limits  Limits
 	log     zerolog.Logger
 	clients map[*client]struct{}
-	held    int        // bytes of commands that wait for their turn, and of messages begun
-	idle    *list.List // clients between requests, the longest idle first
+	held    int                 // bytes of requests, of commands that wait for their turn, and of messages begun
+	fresh   *list.List          // clients that have had no request yet, the longest silent first
+	idle    *list.List          // clients between requests, the longest idle first
+	open    map[string]struct{} // ids of the requests that are owed an answer
 	ending  bool
 	ended   func()
 }
 
 // New returns a server without clients.
 func New(l *loop.Loop, g Gateway, classes map[string]Class, limits Limits, log zerolog.Logger) *Server {
-	return &Server{loop: l, gateway: g, classes: classes, limits: limits, log: log, clients: map[*client]struct{}{}, idle: list.New()}
+	s := &Server{loop: l, gateway: g, classes: classes, limits: limits, log: log, clients: map[*client]struct{}{},
+		fresh: list.New(), idle: list.New(), open: map[string]struct{}{}}
+	s.sweep()
+	return s
+}
+
+// sweep closes the clients that have used up their time. None of them has a request under way, and one whose next
+// bytes have arrived is left to say them.
+func (s *Server) sweep() {
+	now, unread := s.loop.Now(), int64(0)
+	var slow *client
+	for c := range s.clients {
+		switch {
+		case c.dead && now-c.since > farewell:
+			c.close()
+		case c.waiting || c.resting == nil || !c.net.Quiet():
+		case len(c.in) > 0 && now-c.begun > s.limits.Silence,
+			!c.asked && now-c.since > s.limits.Silence, now-c.since > s.limits.Resting:
+			c.close()
+		}
+		if n := c.net.Unwritten(); !c.closed && n > 0 {
+			if unread += n; slow == nil || n > slow.net.Unwritten() {
+				slow = c
+			}
+		}
+	}
+	if unread > int64(s.limits.Bytes) {
+		slow.close()
+	}
+	s.loop.At(now+sweep, s.sweep)
 }
 
-// Accept takes a new connection. When there are too many, the one that has stood idle longest makes room; if
-// all are at work, the new one is let in only to be told.
+// Accept takes a new connection. When there are too many, one that rests makes room; if all are at work, the new
+// one is let in only to be told.
 func (s *Server) Accept(c *loop.Conn) loop.Handler {
-	cl := &client{server: s, net: c}
+	cl := &client{server: s, net: c, since: s.loop.Now()}
 	if len(s.clients) >= s.limits.Connections {
-		if old := s.longestIdle(); old != nil {
+		if old := s.spare(); old != nil {
 			old.close()
 		} else if len(s.clients) >= s.limits.Connections+surplusClients {
 			c.Close()
@@ -81,12 +116,17 @@
 	return cl
 }
 
-// longestIdle is the client that has rested longest of those that have read their last answer whole: to close
-// any other would lose that answer.
-func (s *Server) longestIdle() *client {
-	for e := s.idle.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*client); c.net.Unwritten() <= 0 {
-			return c
+// spare is a client that may be closed to make room. Those that have asked nothing go first, the longest silent
+// ahead, so that any number of them does not crowd out the clients that ask; next those that have rested longest.
+// To close one that has not read its last answer would lose that, and one whose next bytes have arrived asks now.
+func (s *Server) spare() *client {
+	now := s.loop.Now()
+	for _, clients := range [...]*list.List{s.fresh, s.idle} {
+		for e := clients.Front(); e != nil; e = e.Next() {
+			c := e.Value.(*client)
+			if c.net.Unwritten() <= 0 && (len(c.in) == 0 || now-c.begun > settle) && c.net.Quiet() {
+				return c
+			}
 		}
 	}
 	return nil
@@ -128,11 +168,16 @@
 	dead    bool // a fatal error was sent: what comes now means nothing
 	skip    bool // an extended query was turned away: nothing counts until its Sync
 
-	in      []byte
+	in      []byte    // a message that has begun
+	begun   int64     // when it did
 	queue   []command // in the order in which they came
 	held    int       // its part of the server's
 	request int64     // the one that is out; 0 if none
+	id      string    // its id, as the client names it
+	size    int       // of its text
 	waiting bool      // a request is out
+	asked   bool      // a request of it was taken
+	since   int64     // when it connected, or last came to rest
 	resting *list.Element
 	timer   *loop.Timer
 }
@@ -158,11 +203,22 @@
 	c.in, c.queue = nil, nil
 	c.count()
 	delete(c.server.clients, c)
+	c.drop()
+	c.server.check()
+}
+
+// drop gives up the request that is out.
+func (c *client) drop() {
 	if c.waiting {
-		c.waiting = false
+		c.over()
 		c.server.gateway.Gone(c.request)
 	}
-	c.server.check()
+}
+
+// over notes that the request that was out has its final answer.
+func (c *client) over() {
+	c.waiting, c.size = false, 0
+	delete(c.server.open, c.id)
 }
 
 func (c *client) close() {
@@ -190,7 +246,7 @@
 
 // count brings the number of bytes held up to date.
 func (c *client) count() {
-	n := len(c.in)
+	n := len(c.in) + c.size
 	for i := range c.queue {
 		n += len(c.queue[i].text)
 	}
@@ -200,14 +256,21 @@
 
 // rest and work note whether the connection is between requests.
 func (c *client) rest() {
-	if c.resting == nil && !c.closed {
+	if c.resting != nil || c.closed {
+		return
+	}
+	c.since = c.server.loop.Now()
+	if c.asked {
 		c.resting = c.server.idle.PushBack(c)
+	} else {
+		c.resting = c.server.fresh.PushBack(c)
 	}
 }
 
 func (c *client) work() {
-	if c.resting != nil {
+	if c.resting != nil { // a list does not remove what is not its own
 		c.server.idle.Remove(c.resting)
+		c.server.fresh.Remove(c.resting)
 		c.resting = nil
 	}
 }
@@ -217,12 +280,14 @@
 	if n := len(c.queue); c.dead || n > 0 && c.queue[n-1].err != nil {
 		return // the same where framing is lost
 	}
+	now := c.server.loop.Now()
+	if len(c.in) == 0 {
+		c.begun = now
+	}
 	if len(c.in) > 0 {
 		b = append(c.in, b...)
 	}
 	c.in = nil
-	c.work()
-	now := c.server.loop.Now()
 	for len(b) > 0 {
 		if !c.started {
 			s, rest, ok, err := pgwire.NextStartup(b)
@@ -242,7 +307,8 @@
 		}
 		m, rest, ok, err := pgwire.Next(b)
 		if err == nil && ok && len(c.queue) >= maxPipelined {
-			err = errTooMuch
+			c.tooMuch()
+			return
 		}
 		if err != nil {
 			c.queue = append(c.queue, command{at: now, err: err})
@@ -252,18 +318,41 @@
 			c.in = b
 			break
 		}
-		b = rest
+		b, c.begun = rest, now
 		c.queue = append(c.queue, command{kind: m.Type, text: m.Body, at: now})
 	}
-	// What clients send ahead is held, and so is what they never finish: together it must not fill the memory.
-	if c.count(); c.server.held > c.server.limits.Bytes {
-		c.in = nil
-		c.queue = append(c.queue, command{at: now, err: errTooMuch})
-		c.count()
+	if len(c.queue) > 0 {
+		c.work()
 	}
+	c.count()
+	c.server.relieve()
 	c.next()
 }
 
+// relieve ends the client that holds most, once what clients send ahead and what they never finish would fill the
+// memory together.
+func (s *Server) relieve() {
+	if s.held <= s.limits.Bytes {
+		return
+	}
+	var most *client
+	for c := range s.clients {
+		if most == nil || c.held > most.held {
+			most = c
+		}
+	}
+	if most != nil {
+		most.tooMuch()
+	}
+}
+
+// tooMuch ends a client at once that sends more than can be held for it. To answer first what it sent in due order
+// would leave it unanswered for as long as that takes.
+func (c *client) tooMuch() {
+	c.drop()
+	c.fatal(pgwire.CodeProtocolViolation, "too much sent ahead of the answers")
+}
+
 // startup answers the first message; false means that the connection is closed.
 func (c *client) startup(s pgwire.Startup) bool {
 	switch {
@@ -307,7 +396,7 @@
 		c.queue = c.queue[1:]
 		c.command(cmd)
 	}
-	if c.closed || c.waiting {
+	if c.closed || c.waiting || c.dead {
 		return
 	}
 	c.queue = nil
@@ -375,10 +464,24 @@
 		c.fail(pgwire.CodeSyntaxError, fmt.Sprintf("comment: c: no class %q", q.Class))
 		return
 	}
-	if q.Wait < 0 {
+	if reads := q.Command() == "SELECT"; reads == class.Write {
+		c.fail(pgwire.CodeSyntaxError, fmt.Sprintf("a statement of class %q can't begin with %q", q.Class, q.Command()))
+		return
+	}
+	if q.Wait < 0 || q.Wait > class.Deadline { // no client of the class waits longer
 		q.Wait = class.Deadline
 	}
-	c.waiting, c.request = true, 0
+	if q.After > c.server.loop.Now()+farAhead {
+		c.fail(pgwire.CodeSyntaxError, "comment: after: lies in the future")
+		return
+	}
+	if _, open := c.server.open[q.ID]; open {
+		// Hosts tell requests apart by it: passed on, it would spoil the one that came first.
+		c.fail(pgwire.CodeSyntaxError, "comment: id: another request has it, and is not answered yet")
+		return
+	}
+	c.server.open[q.ID] = struct{}{}
+	c.waiting, c.asked, c.request, c.id, c.size = true, true, 0, q.ID, len(cmd.text)
 	id := c.server.gateway.Accept(gateway.Request{
 		Class: class.Index, Group: q.Cluster, Key: q.KeyID(), HasKey: q.HasKey, Write: class.Write, After: q.After,
 		Until: cmd.at + q.Wait, Body: q, Client: c,
@@ -393,7 +496,7 @@
 	if c.closed {
 		return
 	}
-	c.waiting = false
+	c.over()
 	c.net.Write(pgwire.AppendReadyForQuery(answer))
 	c.server.loop.Post(c.next) // the gateway is not to be called back from here
 }
@@ -424,7 +527,8 @@
 // fatal says why the connection ends, and ends it.
 func (c *client) fatal(code, message string) {
 	c.net.Write(pgwire.AppendError(nil, pgwire.Error{Severity: "FATAL", Code: code, Message: message}))
-	c.dead, c.queue, c.in = true, nil, nil
+	c.dead, c.queue, c.in, c.since = true, nil, nil, c.server.loop.Now()
 	c.work()
+	c.count()
 	c.part()
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -14,9 +14,8 @@
 	"github.com/rs/zerolog"
 )
 
-// backlog bounds the bytes read and not yet handled. A poller that has read more waits, so that a client that
-// floods the program is slowed by its own socket and not held in memory.
-const backlog = 4 << 20
+// spareEvents bounds the queue's spare room: one that a flood has made longer is not kept for good.
+const spareEvents = 4096
 
 // Handler is told what happens to a connection, always on the loop's goroutine. After Closed, or once the
 // connection was closed from this side, nothing more is told.
@@ -37,7 +36,10 @@
 	room  *sync.Cond
 	queue []event
 	bytes int
-	wake  chan struct{}
+	// backlog bounds the bytes read and not yet handled. A poller that has read more waits, so that a client
+	// that floods the program is slowed by its own socket and not held in memory.
+	backlog int
+	wake    chan struct{}
 
 	spare   []event
 	timers  timers
@@ -62,10 +64,10 @@
 	closed
 )
 
-// New returns a loop that may hold so many descriptors.
-func New(files int, log zerolog.Logger) *Loop {
+// New returns a loop that may hold so many descriptors, and so many bytes read and not yet handled.
+func New(files, backlog int, log zerolog.Logger) *Loop {
 	now := time.Now()
-	l := &Loop{log: log, start: now, base: now.UnixMicro(), wake: make(chan struct{}, 1)}
+	l := &Loop{log: log, backlog: backlog, start: now, base: now.UnixMicro(), wake: make(chan struct{}, 1)}
 	l.room = sync.NewCond(&l.mu)
 	logging.SetLogger(engineLog{log})
 	// The engine keeps a table of this many connections from the start, and takes no descriptor beyond it.
@@ -142,7 +144,7 @@
 
 func (l *Loop) post(ev event) {
 	l.mu.Lock()
-	for ev.kind == read && l.bytes > backlog {
+	for ev.kind == read && l.bytes > l.backlog {
 		l.room.Wait()
 	}
 	if ev.kind == read {
@@ -171,7 +173,9 @@
 			l.handle(&batch[i])
 			batch[i] = event{}
 		}
-		l.spare = batch
+		if l.spare = batch; cap(batch) > spareEvents {
+			l.spare = nil
+		}
 		for now := l.Now(); len(l.timers) > 0 && l.timers[0].at <= now; {
 			t := heap.Pop(&l.timers).(*Timer)
 			t.call()
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -26,7 +26,7 @@
 
 func run(t *testing.T, accept func(*Conn) Handler) *Loop {
 	t.Helper()
-	l := New(1024, zerolog.Nop())
+	l := New(1024, 4<<20, zerolog.Nop())
 	if err := l.Start("127.0.0.1:0", accept); err != nil {
 		t.Fatal(err)
 	}
@@ -105,6 +105,38 @@
 	}
 }
 
+// What a peer has sent, its end too, is seen before the handler is told of it: a connection that is not quiet is no
+// place for the next request.
+func TestQuiet(t *testing.T) {
+	h, conns := newHandler(), make(chan *Conn, 1)
+	l := run(t, func(c *Conn) Handler { conns <- c; return h })
+	peer, err := net.Dial("tcp4", l.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := wait(t, conns, "accept")
+	for _, step := range []func(){func() { _, _ = peer.Write([]byte("x")) }, func() { peer.Close() }} {
+		l.do(func() { // nothing is told while this runs
+			if !c.Quiet() {
+				t.Error("not quiet before anything came")
+			}
+			step()
+			for end := time.Now().Add(limit); c.Quiet(); {
+				if time.Now().After(end) {
+					t.Error("quiet although something came")
+					return
+				}
+			}
+		})
+		select {
+		case <-h.data:
+		case <-h.closed:
+		case <-time.After(limit):
+			t.Fatal("nothing was told")
+		}
+	}
+}
+
 func TestDialRefused(t *testing.T) {
 	l := run(t, nil)
 	ln := listener(t)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -14,7 +14,7 @@
 // A message goes to the gateway of that number or to the address of all; one that comes is told with its sender's
 // number, and one from an address that is no gateway's is not told.
 func TestMessages(t *testing.T) {
-	l := loop.New(1024, zerolog.Nop())
+	l := loop.New(1024, 1<<20, zerolog.Nop())
 	if err := l.Start("", nil); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/pgwire/comment.go
+++ b/internal/pgwire/comment.go
@@ -11,6 +11,7 @@
 
 // Query is a statement with the comment that heads it.
 type Query struct {
+	ID      string
 	Class   string
 	Cluster int64
 	Wait    int64 // microseconds that the client waits for the answer; -1 if it does not say
@@ -20,6 +21,26 @@
 
 	text             []byte // as it came
 	waitAt, waitEnds int    // where in it the wait stands
+	command          string
+}
+
+// Command is the first word of the statement, in capitals.
+func (q *Query) Command() string { return q.command }
+
+const (
+	maxID      = 64
+	maxCluster = 1 << 31
+	maxWait    = 3600e6 // an hour
+)
+
+// isID tells whether s can be an id: some letters, digits and signs that join them.
+func isID(s string) bool {
+	for _, ch := range []byte(s) {
+		if !('0' <= ch && ch <= '9' || 'a' <= ch && ch <= 'z' || 'A' <= ch && ch <= 'Z' || ch == '-' || ch == '_') {
+			return false
+		}
+	}
+	return s != "" && len(s) <= maxID
 }
 
 // ParseQuery reads the text of a query: a comment of names and values, then the statement. The text is kept as
@@ -35,14 +56,15 @@
 	if length < 0 {
 		return nil, errors.New("the comment in front of the statement does not end")
 	}
-	hasCluster := false
+	seen := map[string]bool{}
 	for at, stop := start, start+length; at < stop; {
 		part := text[at:stop]
 		if i := bytes.IndexByte(part, ','); i >= 0 {
 			part = part[:i]
 		}
-		name, value, found := bytes.Cut(part, []byte{'='})
-		valueAt := at + len(name) + 1
+		before, value, found := bytes.Cut(part, []byte{'='})
+		name := string(bytes.TrimSpace(before))
+		valueAt := at + len(before) + 1
 		at += len(part) + 1
 		if !found {
 			continue
@@ -50,25 +72,41 @@
 		valueAt += len(value) - len(bytes.TrimLeft(value, " "))
 		value = bytes.TrimSpace(value)
 		var err error
-		switch string(bytes.TrimSpace(name)) {
+		switch name {
+		case "id":
+			if q.ID = string(value); !isID(q.ID) {
+				err = fmt.Errorf("%.80q is no id", q.ID)
+			}
 		case "c":
 			q.Class = string(value)
 		case "d":
-			q.Wait, err = Decimal(string(value), 3, false)
+			if q.Wait, err = Decimal(string(value), 3, false); err == nil && (q.Wait == 0 || q.Wait > maxWait) {
+				err = fmt.Errorf("nobody waits %s ms", value)
+			}
 			q.waitAt, q.waitEnds = valueAt, valueAt+len(value)
 		case "cluster":
-			q.Cluster, err = strconv.ParseInt(string(value), 10, 64)
-			hasCluster = true
+			if q.Cluster, err = strconv.ParseInt(string(value), 10, 64); err == nil && (q.Cluster < 0 || q.Cluster > maxCluster) {
+				err = fmt.Errorf("no group has the number %s", value)
+			}
 		case "after":
 			q.After, err = Decimal(string(value), 3, true)
+		default:
+			continue
+		}
+		if err == nil && seen[name] { // a host might read the other one
+			err = errors.New("named twice")
 		}
 		if err != nil {
-			return nil, fmt.Errorf("comment: %s: %w", bytes.TrimSpace(name), err)
+			return nil, fmt.Errorf("comment: %s: %w", name, err)
 		}
+		seen[name] = true
 	}
-	if q.Class == "" || !hasCluster {
-		return nil, errors.New("the comment in front of the statement names no c or no cluster")
+	for _, key := range [...]string{"id", "c", "cluster"} {
+		if !seen[key] {
+			return nil, fmt.Errorf("comment: %s: missing", key)
+		}
 	}
+	q.command = Command(string(text[start+length+2:]))
 	_, quoted, found := bytes.Cut(text[start+length+2:], []byte{'\''})
 	if key, _, closed := bytes.Cut(quoted, []byte{'\''}); found && closed {
 		q.Key, q.HasKey = string(key), true
