Take a host for down only after two probes that break, and cold only after a third

Hosts there are well but close, refuse or reset some connections. Checked: one reset makes the module doubt a host; if the probe meets a bad connection too, the host is down, its group without a primary, and once back it counts as cold for 16 s with a handful of attempts. One refused dial also halved the time that idle connections are kept, so that more had to be dialled. Ruled out: the settings (idle time 30 s), memory, CPU (0.13 s in the busiest second). Tried and dropped: letting idle connections settle for 5 or 30 ms before reuse. At fault: Router.probed, fell, alive and the last case of learn in balance/balance.go. Change: a broken probe is asked again before the host is down; only one that breaks while down starts cold; resets rest a host no longer; two refused dials in a row, not one, mean a full table.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -63,9 +63,10 @@
 	loadAt           int64
 
 	cond             condition
-	open, refused    bool // it has connections of ours; it refused one
-	died             bool // it refused or broke connections: it starts cold when it is back
-	probing          bool
+	open             bool // it has connections of ours
+	refusals         int  // new connections that it refused in a row
+	died             bool // it went on refusing or breaking connections: it starts cold when it is back
+	probing, again   bool // again: a probe that broke off was asked once more
 	probedAt         int64
 	retryAt, backoff int64
 	role             Role
@@ -330,9 +331,9 @@
 
 // alive notes a sign of life. A host that was dead is cold now, even if the list has not said so yet.
 func (r *Router) alive(h *host) {
-	h.heard, h.quietFrom, h.backoff = r.now, r.now, 0
-	if h.refused { // alive, so its table of connections is full
-		h.refused, r.keep = false, max(r.keep/2, r.period())
+	h.heard, h.quietFrom, h.backoff, h.again = r.now, r.now, 0, false
+	if h.refusals > 1 { // alive, so its table of connections is full; one alone may be a bad link's
+		h.refusals, r.keep = 0, max(r.keep/2, r.period())
 	}
 	if h.cond == up {
 		return
@@ -355,7 +356,7 @@
 
 // fell notes that the host does not serve; writes walk on.
 func (r *Router) fell(h *host, died bool) {
-	h.died = h.died || died
+	h.died, h.again = h.died || died, false
 	h.backoff = min(max(2*h.backoff, r.pace()), backoffLimit*r.pace())
 	h.retryAt = r.now + h.backoff
 	if h.cond != down {
@@ -762,6 +763,9 @@
 	}
 	switch ev.Result {
 	case Served, TimedOut:
+		if ev.Result == Served && q != nil && q.dials {
+			h.refusals = 0
+		}
 		if q != nil {
 			r.measure(h, q, ev.Took, ev.Result == Served)
 		}
@@ -769,18 +773,20 @@
 			r.tokens[0][q.key] = max(r.tokens[0][q.key], ev.Position)
 		}
 	case Full, Refused, Reset:
-		h.rest = min(max(2*h.rest, r.period()), r.pace())
-		h.restUntil = r.now + h.rest/2 + int64(r.random(int(h.rest)))
-		if ev.Result == Full {
-			break
-		}
 		// A full table refuses new connections at once and leaves open ones alone; bad links do neither.
-		h.open = false
-		h.refused = ev.Result == Refused && ev.Took < r.set.DialTimeout/2 && q != nil && q.dials
-		if !h.refused {
-			r.keep = min(2*r.keep, keepIdle)
+		if ev.Result == Refused && ev.Took < r.set.DialTimeout/2 && q != nil && q.dials {
+			h.refusals++
+		} else if ev.Result != Full {
+			h.refusals, r.keep = 0, min(2*r.keep, keepIdle)
+		}
+		if ev.Result == Full || h.refusals > 1 {
+			h.rest = min(max(2*h.rest, r.period()), r.pace())
+			h.restUntil = r.now + h.rest/2 + int64(r.random(int(h.rest)))
+		}
+		if ev.Result != Full {
+			h.open = false
+			r.doubt(h)
 		}
-		r.doubt(h)
 	}
 }
 
@@ -910,8 +916,16 @@
 	}
 	h.probing = false
 	if !ev.Result.Answered() {
-		if h.heard < h.probedAt {
-			r.fell(h, ev.Result == Refused || ev.Result == Reset)
+		// One connection that breaks is no death: who is dead breaks the next ones, too, and at once.
+		broke := ev.Result == Refused || ev.Result == Reset
+		switch {
+		case h.heard >= h.probedAt:
+		case broke && h.cond == up:
+			r.doubt(h)
+		case broke && h.cond == doubted && !h.again:
+			h.again = r.probe(h, 0)
+		default:
+			r.fell(h, broke && h.cond == down)
 		}
 		return
 	}
