Take values of up to a megabyte, and do not cut a host's limit for a silent connection

At fault: hostSizes and MaxMessage in internal/pgwire; Router.measure, which counts a time-out as a sign of load. An answer begun also had 250 ms to end, more than the aims here; it now has to go on within 50 ms, however long it is.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,6 +32,7 @@
 	retryBurst   = 20.0 // what a calm time saves up for a crash
 	probeEarn    = 2.0  // probes for positions and of dead hosts, for each first attempt
 	probeBurst   = 10.0 // enough for a look at every member of a few groups
+	lostAfter    = 8.0  // an attempt is lost after its usual time and so many deviations
 	tokenAge     = 10e6 // session commits are kept for this long at least, then folded into one floor
 )
 
@@ -377,6 +378,14 @@
 	}
 }
 
+// lost tells whether an attempt's connection has fallen silent, by all appearance: it takes many times what
+// such attempts take, and the host has answered others since. That says nothing of how busy the host is.
+func (r *Router) lost(h *host, q *request) bool {
+	usual := max(h.lat, r.cost[q.kind])
+	age := float64(r.now - q.sentAt)
+	return h.cond == up && h.lat != 0 && age > usual+lostAfter*h.dev && float64(r.now-h.heard) < age/2
+}
+
 // measure learns how long the host takes and how much it may be given at once: the limit grows while answers
 // take little of their aim, and is cut when they take much of it. An attempt that ran out of time counts
 // as one that took all of its aim: else a host would be judged by its quick answers alone, and never spared.
@@ -385,6 +394,9 @@
 	t := float64(took)
 	share := t / float64(q.class.Aim)
 	if !served {
+		if r.lost(h, q) {
+			return
+		}
 		share = max(share, 1)
 	} else {
 		mix(&h.lat, t, smooth)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -488,6 +488,27 @@
 	}
 }
 
+// A connection that falls silent while its host answers others does not make the host busy; a host that answers
+// nobody, or as slowly as that, is.
+func TestSilentConnectionCutsNoLimit(t *testing.T) {
+	for _, c := range []struct {
+		heard, lat int64
+		cut        bool
+	}{{0, 10 * ms, false}, {450 * ms, 10 * ms, true}, {0, 300 * ms, true}} {
+		g := readyRig(t, testSettings())
+		id, acts := g.ask(unsafe)
+		h := g.r.hosts[sentTo(acts, id)]
+		h.lat, h.dev, h.limit = float64(c.lat), float64(c.lat/3), 20
+		g.r.cost[unsafe] = h.lat
+		g.now += 500 * ms
+		g.r.now, h.heard = g.now, g.now-c.heard
+		g.r.measure(h, g.r.reqs[id], 500*ms, false)
+		if (h.share > 0) != c.cut {
+			t.Errorf("%+v: share of the aim %.2f", c, h.share)
+		}
+	}
+}
+
 func TestBrokenConnectionIsNotADeath(t *testing.T) {
 	g := readyRig(t, testSettings())
 	id, _ := g.ask(unsafe)
@@ -513,6 +534,7 @@
 		g.now += 50 * ms
 		g.r.now = g.now
 		g.r.measure(h, q, 100*ms, true)
+		q.sentAt = g.now - 500*ms
 		g.r.measure(h, q, 500*ms, false)
 	}
 	if h.limit > 20 {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -86,12 +86,14 @@
 		}
 	}
 	if c.state == busy && (len(c.in) > 0 || c.answer.stage != 0) {
-		// A host that has begun its answer is at its end soon, or the answer has no end.
-		if c.timer == nil {
-			c.timer = c.pool.loop.At(c.pool.loop.Now()+c.pool.limits.DialTimeout, func() {
-				c.spoilt(errors.New("the answer has begun and does not end"))
-			})
-		}
+		// A host that has begun its answer goes on with it, or the answer has no end. What has arrived in the
+		// socket meanwhile is read first: it may be us who are late.
+		c.timer.Stop()
+		c.timer = c.pool.loop.At(c.pool.loop.Now()+c.pool.limits.DialTimeout/5, func() {
+			if c.net.Quiet() {
+				c.spoilt(errors.New("the answer has begun and does not go on"))
+			}
+		})
 	}
 	c.count()
 }
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -12,11 +12,12 @@
 const (
 	// MaxStartup bounds a startup message.
 	MaxStartup = 10_000
-	// MaxMessage bounds any other: a value of 64 KiB, written as text in a statement, with room to spare.
-	MaxMessage = 256 << 10
+	// MaxMessage bounds any other. Values have 64 KiB at most by the protocol, but some of 400 KB were seen; who
+	// takes in messages bounds them together, too.
+	MaxMessage = 1 << 20
 
 	// MaxValue bounds a value that a host returns.
-	MaxValue = 64 << 10
+	MaxValue = MaxMessage - 64
 
 	// ProtocolVersion is 3.0.
 	ProtocolVersion = 3 << 16
