Give reads to a host that mostly fails only if the other one drawn fails, too

Checked: such a host answers at once, so by attempts in flight it is always the less busy of two, and takes more reads than any other; each costs a repeat of the budget. At fault: Router.lessBusy. Change: a running share of errors for each host; over a quarter it comes second; a fifth fades a second. Test: TestFastErrorsDrawNoReads, seen to fail without the comparison.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,6 +33,8 @@
 	probeEarn    = 2.0  // probes for positions and of dead hosts, for each first attempt
 	probeBurst   = 10.0 // enough for a look at every member of a few groups
 	lostAfter    = 8.0  // an attempt is lost after its usual time and so many deviations
+	failing      = 0.25 // a host with this share of errors gets a read only if the other one drawn has it
+	errsKeep     = 0.8  // of that share is kept a second, so that it is tried again
 	tokenAge     = 10e6 // session commits are kept for this long at least, then folded into one floor
 )
 
@@ -57,6 +59,7 @@
 	quietFrom, heard int64      // since when attempts are out with no answer; last sign of life
 	lat, dev         float64    // latency of answers and its mean deviation
 	share            float64    // latency as a share of the aim
+	errs             float64    // share of its answers that were errors
 	limit            float64    // own attempts allowed out at once
 	cutAt            int64
 	rest, restUntil  int64   // it turned attempts away or broke off: it is left alone for so long
@@ -711,7 +714,11 @@
 	return (h.inflight+1)*r.slope[q.kind][0] > left*r.slope[q.kind][1]
 }
 
+// lessBusy compares two hosts. One that mostly fails is quick at it, and would draw the traffic of all.
 func (r *Router) lessBusy(a, b *host) bool {
+	if (a.errs > failing) != (b.errs > failing) {
+		return a.errs <= failing
+	}
 	if r.set.CrossPrice > 0 && (a.zone == r.set.Zone) != (b.zone == r.set.Zone) && len(a.out) == len(b.out) {
 		return a.zone == r.set.Zone
 	}
@@ -774,7 +781,12 @@
 		}
 	}
 	switch ev.Result {
+	case Errored:
+		h.errs += smooth * (1 - h.errs)
 	case Served, TimedOut:
+		if ev.Result == Served {
+			h.errs -= smooth * h.errs
+		}
 		if ev.Result == Served && q != nil && q.dials {
 			h.refusals = 0
 		}
@@ -880,6 +892,9 @@
 		if warm > 0 { // with all hosts cold, the rate that we had still counts
 			mix(&r.perHost, r.sends*1e6/float64(since)/float64(warm), 1-rateKeep)
 		}
+		for _, h := range r.order {
+			h.errs *= errsKeep
+		}
 		r.sends, r.ratedAt = 0, r.now
 		r.keep = min(r.keep+r.keep/keepGrow, keepIdle)
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -509,6 +509,33 @@
 	}
 }
 
+// A host that answers errors is quick, and so looks idle: reads go to the others until it is tried again.
+func TestFastErrorsDrawNoReads(t *testing.T) {
+	g := readyRig(t, testSettings())
+	ask := func() (bad int) {
+		for range 100 {
+			g.now += ms
+			id, acts := g.ask(loose)
+			if h := sentTo(acts, id); h == "b" {
+				bad++
+				g.answer(id, h, Errored, Replica, 0)
+				g.do(Event{Kind: GoneEvent, Request: id})
+			} else {
+				g.answer(id, h, Served, Replica, 0)
+			}
+		}
+		return bad
+	}
+	if first, then := ask(), ask(); first == 0 || then > first/2 || then > 10 {
+		t.Errorf("got %d reads of 100, then %d", first, then)
+	}
+	g.wait(20000 * ms)
+	g.reportAll(g.now)
+	if ask() == 0 {
+		t.Error("never tried again")
+	}
+}
+
 func TestBrokenConnectionIsNotADeath(t *testing.T) {
 	g := readyRig(t, testSettings())
 	id, _ := g.ask(unsafe)
