Clients that stay make room before new ones that have not asked yet

Clients there ask once and stay; from two limits below, each new connection took the place of the last new one, before its first query was here, while the ones that stayed kept theirs. Ruled out: hosts, list, CPU, memory. Change: the one that has rested longest makes room; those that have asked nothing only while they are half of all. Tests: TestClientsThatStayMakeRoom, seen to fail with the order before; TestSilentClientsCrowdNobodyOut still holds.

--- a/cmd/cloverrock/serve_test.go
+++ b/cmd/cloverrock/serve_test.go
@@ -640,6 +640,26 @@
 	}
 }
 
+// Clients that asked once and stay make room for new ones, however slowly those come to their first query.
+func TestClientsThatStayMakeRoom(t *testing.T) {
+	r := start(t, 0, func(c *config.Config) { c.Sockets = reserved + 8 }) // 4 clients
+	var stay []*client
+	for id := 0; id < 4; id++ {
+		stay = append(stay, r.connect())
+		stay[id].query(text(writeText, id))
+		r.hosts[0].next().answer("v")
+		stay[id].want("value v")
+	}
+	slow := []*client{r.connect(), r.connect()}
+	stay[0].want("closed")
+	stay[1].want("closed")
+	for id, cl := range slow {
+		cl.query(text(writeText, 10+id))
+		r.hosts[0].next().answer("w")
+		cl.want("value w")
+	}
+}
+
 // What clients have begun and not ended is bounded in all: the one that holds most has to go, not the one that comes.
 func TestHeldBytesAreBounded(t *testing.T) {
 	r := start(t, 0, func(c *config.Config) { c.MemoryMB = 1 }) // 128 KiB
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -116,12 +116,18 @@
 	return cl
 }
 
-// spare is a client that may be closed to make room. Those that have asked nothing go first, the longest silent
-// ahead, so that any number of them does not crowd out the clients that ask; next those that have rested longest.
+// spare is a client that may be closed to make room: of those that have asked nothing the longest silent while they
+// are half of all, so that any number of them does not crowd out the clients that ask, else the one that has rested
+// longest. A new client is silent, too, until its first query is here, and clients that ask once and stay would keep
+// all that come later from asking.
 // To close one that has not read its last answer would lose that, and one whose next bytes have arrived asks now.
 func (s *Server) spare() *client {
 	now := s.loop.Now()
-	for _, clients := range [...]*list.List{s.fresh, s.idle} {
+	order := [...]*list.List{s.idle, s.fresh}
+	if s.fresh.Len() >= s.limits.Connections/2 {
+		order = [...]*list.List{s.fresh, s.idle}
+	}
+	for _, clients := range order {
 		for e := clients.Front(); e != nil; e = e.Next() {
 			c := e.Value.(*client)
 			if c.net.Unwritten() <= 0 && (len(c.in) == 0 || now-c.begun > settle) && c.net.Quiet() {
