Thin out clients that rest beyond a quarter of the descriptors, and after 2 s

Change: clients that have asked are a quarter of the descriptors at most, else the longest resting are closed, and none rests over 2 s; a client that has not begun its startup after 0.1 s makes room first. Test: TestClientsThatStayAreThinned, seen to fail without the change.

--- a/cmd/cloverrock/serve_test.go
+++ b/cmd/cloverrock/serve_test.go
@@ -660,6 +660,22 @@
 	}
 }
 
+// Clients that asked once and stay are closed beyond a quarter of the descriptors, the longest resting first, though
+// there is room here: their side has only so many.
+func TestClientsThatStayAreThinned(t *testing.T) {
+	r := start(t, 0, func(c *config.Config) { c.Sockets = reserved + 64 }) // 35 clients, of which 26 may have asked
+	var stay []*client
+	for id := 0; id < 27; id++ {
+		stay = append(stay, r.connect())
+		stay[id].query(text(writeText, id))
+		r.hosts[0].next().answer("v")
+		stay[id].want("value v")
+	}
+	stay[0].want("closed")
+	stay[1].query("")
+	stay[1].want("empty")
+}
+
 // What clients have begun and not ended is bounded in all: the one that holds most has to go, not the one that comes.
 func TestHeldBytesAreBounded(t *testing.T) {
 	r := start(t, 0, func(c *config.Config) { c.MemoryMB = 1 }) // 128 KiB
--- a/cmd/cloverrock/server.go
+++ b/cmd/cloverrock/server.go
@@ -25,9 +25,9 @@
 	// grace is added to the longest deadline before the program ends with whatever is still out.
 	grace = 100_000
 	// A client that connects and says nothing, or stops within a message, is owed a close within 3 s. One that rests
-	// may be closed after 2 s; it is kept longer, as long as there is room.
+	// may be closed after 2 s, and is: clients that ask once and stay take up what their side may have open, too.
 	silence = 2_000_000
-	resting = 10_000_000
+	resting = 2_000_000
 	// descriptors that neither clients nor hosts take: standard streams, engine, listener, discovery, peers,
 	// and connections on their way in or out.
 	reserved = 40
@@ -69,7 +69,7 @@
 	free := conf.Sockets - reserved
 	clients := free * 11 / 20
 	s.frontend = frontend.New(s.loop, s.gateway, conf.Classes, frontend.Limits{
-		Connections: clients, Bytes: conf.MemoryMB << 20 / 8, Silence: p.silence, Resting: p.resting,
+		Connections: clients, Asked: max(conf.Sockets/4, 1), Bytes: conf.MemoryMB << 20 / 8, Silence: p.silence, Resting: p.resting,
 	}, log)
 	s.pool = backend.New(s.loop, s.gateway, backend.Limits{
 		DialTimeout: conf.Settings.DialTimeout, IdleClose: conf.IdleClose, Connections: free - clients, Bytes: conf.MemoryMB << 20 / 8,
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -19,7 +19,7 @@
 	surplusClients = 16       // connections beyond the limit that are told so
 
 	sweep    = 1e5 // pace of the look at all clients
-	settle   = 1e5 // a message that goes on coming is whole by then
+	settle   = 1e5 // a message that goes on coming is whole by then, and a startup is here
 	farewell = 1e6 // for the last error to be read
 
 	farAhead = 60e6 // a commit that a read must see lies no further ahead: clocks differ, but not so much
@@ -42,6 +42,7 @@
 // Limits bound what the clients together may take.
 type Limits struct {
 	Connections int
+	Asked       int   // of them, clients that have asked; beyond it those between requests are closed
 	Bytes       int   // of requests, of commands that wait for their turn and of messages begun; as much of answers unread
 	Silence     int64 // for a client to say something after it connected, and to end a message that it has begun
 	Resting     int64 // between requests, as long as there is room
@@ -55,6 +56,7 @@
 	limits  Limits
 	log     zerolog.Logger
 	clients map[*client]struct{}
+	asked   int                 // clients that have asked
 	held    int                 // bytes of requests, of commands that wait for their turn, and of messages begun
 	fresh   *list.List          // clients that have had no request yet, the longest silent first
 	idle    *list.List          // clients between requests, the longest idle first
@@ -116,13 +118,18 @@
 	return cl
 }
 
-// spare is a client that may be closed to make room: of those that have asked nothing the longest silent while they
-// are half of all, so that any number of them does not crowd out the clients that ask, else the one that has rested
-// longest. A new client is silent, too, until its first query is here, and clients that ask once and stay would keep
+// spare is a client that may be closed to make room: the longest silent of those that have not even begun their
+// startup, which usual clients send at once; of those that have asked nothing while they are half of all, so that any
+// number of them does not crowd out the clients that ask; else the one that has rested longest. A new client is silent, too, until its first query is here, and clients that ask once and stay would keep
 // all that come later from asking.
 // To close one that has not read its last answer would lose that, and one whose next bytes have arrived asks now.
 func (s *Server) spare() *client {
 	now := s.loop.Now()
+	for e := s.fresh.Front(); e != nil && now-e.Value.(*client).since > settle; e = e.Next() {
+		if c := e.Value.(*client); !c.started && len(c.in) == 0 && c.net.Quiet() {
+			return c
+		}
+	}
 	order := [...]*list.List{s.idle, s.fresh}
 	if s.fresh.Len() >= s.limits.Connections/2 {
 		order = [...]*list.List{s.fresh, s.idle}
@@ -209,6 +216,9 @@
 	c.in, c.queue = nil, nil
 	c.count()
 	delete(c.server.clients, c)
+	if c.asked {
+		c.server.asked--
+	}
 	c.drop()
 	c.server.check()
 }
@@ -260,6 +270,18 @@
 	c.held = n
 }
 
+// thin closes the clients that have rested longest, beyond the bound for those that have asked. Their side has so many
+// connections at most: clients that ask once and stay would keep all that come later from connecting.
+func (s *Server) thin() {
+	for e := s.idle.Front(); e != nil && s.asked > s.limits.Asked; {
+		c := e.Value.(*client)
+		e = e.Next()
+		if c.net.Unwritten() <= 0 && len(c.in) == 0 && c.net.Quiet() {
+			c.close()
+		}
+	}
+}
+
 // rest and work note whether the connection is between requests.
 func (c *client) rest() {
 	if c.resting != nil || c.closed {
@@ -268,6 +290,7 @@
 	c.since = c.server.loop.Now()
 	if c.asked {
 		c.resting = c.server.idle.PushBack(c)
+		c.server.thin()
 	} else {
 		c.resting = c.server.fresh.PushBack(c)
 	}
@@ -487,6 +510,9 @@
 		return
 	}
 	c.server.open[q.ID] = struct{}{}
+	if !c.asked {
+		c.server.asked++
+	}
 	c.waiting, c.asked, c.request, c.id, c.size = true, true, 0, q.ID, len(cmd.text)
 	id := c.server.gateway.Accept(gateway.Request{
 		Class: class.Index, Group: q.Cluster, Key: q.KeyID(), HasKey: q.HasKey, Write: class.Write, After: q.After,
