Decide anew what waits for a dial to a host that moved meanwhile

Seen: by reading only. When a host moves, or the list drops it, while a connection to it opens, the attempt that waits for that connection waits to its end, unless another dial comes by. Checked: TestHostMovesWhileDialled, a real-socket test: with conn.go as it was, no query comes to the new address. At fault: conn.free in internal/backend/conn.go: leave closed a connection that still counted as dialling, after ready had counted it down, and nobody was told that waited for it. Change: the dial is counted down once, and the first that waits ends as refused, unrun, for the module to decide anew.

--- a/cmd/cloverrock/rig_test.go
+++ b/cmd/cloverrock/rig_test.go
@@ -42,6 +42,7 @@
 	t       *testing.T
 	ln      net.Listener
 	queries chan *dbquery
+	hold    chan struct{} // if not nil, no connection is welcomed before it is closed
 	closed  chan struct{} // a token for each connection that the gateway has closed
 
 	mu sync.Mutex
@@ -88,6 +89,10 @@
 	if _, err := io.ReadFull(rd, make([]byte, int(head[2])<<8+int(head[3]))); err != nil {
 		return
 	}
+	if h.hold != nil {
+		h.queries <- nil
+		<-h.hold
+	}
 	_, _ = c.Write(pgwire.AppendReadyForQuery(pgwire.AppendAuthenticationOk(nil)))
 	for {
 		m, err := read(rd)
--- a/cmd/cloverrock/serve_test.go
+++ b/cmd/cloverrock/serve_test.go
@@ -561,6 +561,23 @@
 	cl.want("value own")
 }
 
+// A host moves while a connection to its old address opens: what waits for that goes to the new one.
+func TestHostMovesWhileDialled(t *testing.T) {
+	r := play(t, 0)
+	r.hosts[0].hold = make(chan struct{})
+	r.start()
+	cl := r.connect()
+	cl.query(text(writeText, 1))
+	r.hosts[0].next() // its startup is here
+	moved := newHost(t, true)
+	r.watch().line(fmt.Sprintf(`{"generation":8,"instances":[{"instanceId":"s-0","hostPort":%q,"cell":1,"lifecycle":"SERVING"}]}`, moved.ln.Addr()))
+	for !r.told(8) {
+	}
+	close(r.hosts[0].hold)
+	moved.next().answer("v")
+	cl.want("value v")
+}
+
 // Hosts that the list has dropped are forgotten with their connections.
 func TestGoneHostsAreForgotten(t *testing.T) {
 	r := start(t, 1)
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -213,7 +213,11 @@
 	c.answer = answer{}
 	h := c.host
 	if c.address != h.address || h.gone {
+		c.state = busy // no dial any more
 		c.leave()
+		if len(h.waiting) > h.dialing { // nobody else would come for it: it is unrun, and decided anew
+			c.pool.finishLater(h.waiting[0], balance.Refused)
+		}
 		return
 	}
 	if len(h.waiting) > 0 {
