Go on searching for a primary that was never known

Need: TestWriteIsHeld hung in 1 to 2 of 100 calls under load, and on real hosts a restarted gateway could hold writes to their end. Cause, from a trace: both members are asked once after the round of misses; the answer of the successor is dated by the mean probe time, 5 ms before the first measurement, and so counts as older than the miss a moment before. That is right. But no second probe came: the pace of probes grows with the time since the primary was lost, and a group that never had a sure one counted from time 0, so the next was due after an eighth of all time. Ruled out: an old report that puts the former primary back (none came), and the test waiting at the wrong host.

Change: the search counts from the first request that waits.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -491,8 +491,12 @@
 }
 
 // find looks for a primary that nobody has named while requests wait for it: by probes, ever slower the
-// longer it takes, or where there are none by another round.
+// longer it takes, or where there are none by another round. Where no primary was ever sure, time counts from
+// the first request that waits: from 0, the second probe would be due after an eighth of all time.
 func (r *Router) find(g *group) {
+	if g.lostAt == 0 && len(g.wait) > 0 {
+		g.lostAt = r.now
+	}
 	for _, m := range g.members {
 		if len(g.wait) > 0 &&
 			r.now-m.probedAt >= max(r.pace(), (r.now-g.lostAt)/8) && (m.cond == up || r.now >= m.retryAt) {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -248,6 +248,32 @@
 	}
 }
 
+// A router that never was sure of a primary goes on asking at its pace: with the start of time as the start of
+// the search, the second probe would come after an eighth of all time, and the write would be held to its end.
+func TestSearchFromTheStartGoesOn(t *testing.T) {
+	g := newRig(t, testSettings(), trio()...)
+	id, acts := g.ask(unsafe)
+	for range 3 {
+		host := sentTo(acts, id)
+		if host == "" {
+			t.Fatal("the write does not walk")
+		}
+		acts = g.answer(id, host, Missed, RoleUnknown, 0)
+	}
+	if acts = append(acts, g.wait(2*g.r.pace())...); find(acts, ProbeAction, -1) == nil {
+		t.Fatal("no probe after the round")
+	}
+	for _, host := range []string{"a", "b", "c"} {
+		g.report(host, false, g.now) // taken before the successor was made primary
+	}
+	if acts := g.wait(2 * g.r.pace()); find(acts, ProbeAction, -1) == nil {
+		t.Fatal("the search has ended after one probe")
+	}
+	if acts := g.report("b", true, g.now); sentTo(acts, id) != "b" {
+		t.Fatalf("the write does not go to the primary that was found: %+v", acts)
+	}
+}
+
 func TestLateReportDoesNotOverturnNewerAnswer(t *testing.T) {
 	g := readyRig(t, testSettings())
 	g.now += 1000 * ms
