--- /dev/null
+++ b/internal/store/disk/fs.go
@@ -0,0 +1,153 @@
+// Package disk keeps a store's log, snapshots and identity in one directory, so that what it said was saved is
+// found again, whole, or reported as damaged. It works on a small interface, so that tests crash it anywhere.
+package disk
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"syscall"
+)
+
+// FS is one flat directory. Names that were created, renamed or removed are sure only after SyncDir.
+type FS interface {
+	List() ([]string, error) // sorted
+	Read(name string) ([]byte, error)
+	Create(name string) (File, error) // empties a file that is there
+	Append(name string) (File, error)
+	Truncate(name string, size int64) error
+	Rename(from, to string) error
+	Remove(name string) error
+	SyncDir() error
+	Name(name string) string // for messages
+}
+
+// File is written from its end on, or in place.
+type File interface {
+	Write(b []byte) (int, error)
+	WriteAt(b []byte, off int64) (int, error)
+	Truncate(size int64) error
+	Sync() error
+	Close() error
+}
+
+// ErrFull says that the disk has no room: nothing of the write is kept, and it may be tried again.
+var ErrFull = errors.New("store: the disk is full")
+
+// Dir is a directory of the operating system.
+type Dir struct {
+	path string
+	lock *os.File
+}
+
+// OpenDir opens a directory, makes it where it is missing, and keeps other processes out of it.
+func OpenDir(path string) (*Dir, error) {
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return nil, fmt.Errorf("store: data directory: %w", err)
+	}
+	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("store: data directory: %w", err)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		lock.Close()
+		return nil, fmt.Errorf("store: data directory %s is in use by another process: %w", path, err)
+	}
+	return &Dir{path, lock}, nil
+}
+
+// Close lets other processes in.
+func (d *Dir) Close() error { return d.lock.Close() }
+
+// Name implements FS.
+func (d *Dir) Name(name string) string { return filepath.Join(d.path, name) }
+
+// List implements FS.
+func (d *Dir) List() ([]string, error) {
+	entries, err := os.ReadDir(d.path)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		if e.Type().IsRegular() && e.Name() != "lock" {
+			names = append(names, e.Name())
+		}
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+// Read implements FS.
+func (d *Dir) Read(name string) ([]byte, error) { return os.ReadFile(d.Name(name)) }
+
+// Create implements FS.
+func (d *Dir) Create(name string) (File, error) {
+	return d.open(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
+}
+
+// Append implements FS.
+func (d *Dir) Append(name string) (File, error) { return d.open(name, os.O_CREATE|os.O_WRONLY) }
+
+func (d *Dir) open(name string, flags int) (File, error) {
+	f, err := os.OpenFile(d.Name(name), flags, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	end, err := f.Seek(0, 2)
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	return &osFile{f, end}, nil
+}
+
+// Truncate implements FS.
+func (d *Dir) Truncate(name string, size int64) error { return os.Truncate(d.Name(name), size) }
+
+// Rename implements FS.
+func (d *Dir) Rename(from, to string) error { return os.Rename(d.Name(from), d.Name(to)) }
+
+// Remove implements FS.
+func (d *Dir) Remove(name string) error { return os.Remove(d.Name(name)) }
+
+// SyncDir implements FS.
+func (d *Dir) SyncDir() error {
+	f, err := os.Open(d.path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+type osFile struct {
+	*os.File
+	end int64
+}
+
+// Write appends. A write that the disk has no room for is taken back.
+func (f *osFile) Write(b []byte) (int, error) {
+	n, err := f.File.WriteAt(b, f.end)
+	if err != nil {
+		if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+			if cut := f.File.Truncate(f.end); cut != nil {
+				return 0, fmt.Errorf("store: take back a write that found no room: %w", cut)
+			}
+			return 0, fmt.Errorf("%w: %v", ErrFull, err)
+		}
+		return n, err
+	}
+	f.end += int64(n)
+	return n, nil
+}
+
+func (f *osFile) Truncate(size int64) error {
+	f.end = size
+	return f.File.Truncate(size)
+}
+
+// Sync waits until the bytes and the size are on the disk.
+func (f *osFile) Sync() error { return syscall.Fdatasync(int(f.Fd())) }
--- /dev/null
+++ b/internal/store/disk/snapshot.go
@@ -0,0 +1,199 @@
+package disk
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// pieceSize is what of a snapshot stands in one record.
+const pieceSize = 1 << 20
+
+func snapshotName(index uint64) string { return fmt.Sprintf("snap-%016x", index) }
+
+// snapshots lists the snapshot files, oldest first.
+func snapshots(fs FS) ([]string, error) {
+	names, err := fs.List()
+	if err != nil {
+		return nil, fmt.Errorf("store: list the data directory: %w", err)
+	}
+	var found []string
+	for _, n := range names {
+		if strings.HasPrefix(n, "snap-") && len(n) == len("snap-")+16 {
+			found = append(found, n)
+		}
+	}
+	return found, nil
+}
+
+// framer writes a stream as records.
+type framer struct {
+	w io.Writer
+}
+
+func (f *framer) Write(b []byte) (int, error) {
+	if _, err := f.w.Write(appendRecord(nil, imageRecord, b)); err != nil {
+		return 0, err
+	}
+	return len(b), nil
+}
+
+// EncodeSnapshot writes a snapshot in the form in which it is kept and sent: its metadata, then the image.
+func EncodeSnapshot(w io.Writer, meta *raftpb.SnapshotMetadata, image func(io.Writer) error) error {
+	head, err := proto.Marshal(meta)
+	if err != nil {
+		return fmt.Errorf("store: encode snapshot: %w", err)
+	}
+	if _, err := w.Write(appendRecord(nil, snapRecord, head)); err != nil {
+		return err
+	}
+	pieces := bufio.NewWriterSize(&framer{w: w}, pieceSize)
+	if err := image(pieces); err != nil {
+		return err
+	}
+	if err := pieces.Flush(); err != nil {
+		return err
+	}
+	_, err = w.Write(appendRecord(nil, endRecord, nil))
+	return err
+}
+
+// DecodeSnapshot checks a snapshot and returns its metadata and image. The name is for messages.
+func DecodeSnapshot(name string, b []byte) (*raftpb.SnapshotMetadata, io.Reader, error) {
+	corrupt := func(at int, why string) error { return &CorruptError{name, int64(at), why} }
+	kind, payload, at, ok := nextRecord(b, 0)
+	meta := &raftpb.SnapshotMetadata{}
+	if !ok || kind != snapRecord || proto.Unmarshal(payload, meta) != nil || meta.GetIndex() == 0 {
+		return nil, nil, corrupt(0, "the head is not that of a snapshot")
+	}
+	var pieces []io.Reader
+	for {
+		kind, payload, next, ok := nextRecord(b, at)
+		switch {
+		case !ok:
+			return nil, nil, corrupt(at, "a record does not match its checksum")
+		case kind == imageRecord:
+			pieces = append(pieces, bytes.NewReader(payload))
+		case kind == endRecord && next == len(b):
+			return meta, io.MultiReader(pieces...), nil
+		default:
+			return nil, nil, corrupt(at, "a record that does not belong there")
+		}
+		at = next
+	}
+}
+
+// SaveSnapshot writes an encoded snapshot under its index: whole and synced, or not at all.
+func SaveSnapshot(fs FS, index uint64, write func(io.Writer) error) error {
+	name := snapshotName(index)
+	if err := replace(fs, name, write); err != nil {
+		return fmt.Errorf("store: save %s: %w", fs.Name(name), err)
+	}
+	return nil
+}
+
+// replace writes a file whole beside its place and then puts it there.
+func replace(fs FS, name string, write func(io.Writer) error) error {
+	temp := "new-" + name
+	f, err := fs.Create(temp)
+	if err != nil {
+		return err
+	}
+	err = write(f)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closed := f.Close(); err == nil {
+		err = closed
+	}
+	if err == nil {
+		err = fs.Rename(temp, name)
+	}
+	if err != nil {
+		_ = fs.Remove(temp)
+		return err
+	}
+	return fs.SyncDir()
+}
+
+// LoadSnapshot returns the newest snapshot as it is encoded; nil if there is none. A newest one that is damaged is an
+// error: the log behind it may be gone, and an older one is not what was answered for.
+func LoadSnapshot(fs FS) ([]byte, string, error) {
+	names, err := snapshots(fs)
+	if err != nil || len(names) == 0 {
+		return nil, "", err
+	}
+	name := names[len(names)-1]
+	b, err := fs.Read(name)
+	if err != nil {
+		return nil, "", fmt.Errorf("store: read %s: %w", fs.Name(name), err)
+	}
+	return b, fs.Name(name), nil
+}
+
+// Tidy removes snapshots older than an index and what a crash has left half-written.
+func Tidy(fs FS, index uint64) error {
+	names, err := fs.List()
+	if err != nil {
+		return fmt.Errorf("store: list the data directory: %w", err)
+	}
+	for _, n := range names {
+		if strings.HasPrefix(n, "new-") || strings.HasPrefix(n, "snap-") && n < snapshotName(index) {
+			if err := fs.Remove(n); err != nil && !errors.Is(err, os.ErrNotExist) {
+				return fmt.Errorf("store: remove %s: %w", fs.Name(n), err)
+			}
+		}
+	}
+	return nil
+}
+
+// Identity is who an instance is. It is given once; a directory without one may not vote.
+type Identity struct {
+	Cluster uint64   `json:"cluster"`
+	Node    uint64   `json:"node"`
+	Name    string   `json:"name"`
+	Voters  []uint64 `json:"voters,omitempty"` // the members at the bootstrap; none for one that joined
+	Form    int      `json:"form"`
+}
+
+const identityName = "identity.json"
+
+// SaveIdentity writes the identity down.
+func SaveIdentity(fs FS, id Identity) error {
+	id.Form = 1
+	b, err := json.MarshalIndent(id, "", "  ")
+	if err != nil {
+		return fmt.Errorf("store: encode the identity: %w", err)
+	}
+	if err := replace(fs, identityName, func(w io.Writer) error { _, err := w.Write(b); return err }); err != nil {
+		return fmt.Errorf("store: save %s: %w", fs.Name(identityName), err)
+	}
+	return nil
+}
+
+// LoadIdentity reads the identity; nil if the directory has none.
+func LoadIdentity(fs FS) (*Identity, error) {
+	b, err := fs.Read(identityName)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("store: read %s: %w", fs.Name(identityName), err)
+	}
+	var id Identity
+	if err := json.Unmarshal(b, &id); err != nil {
+		return nil, &CorruptError{fs.Name(identityName), 0, err.Error()}
+	}
+	if id.Form != 1 || id.Cluster == 0 || id.Node == 0 {
+		return nil, &CorruptError{fs.Name(identityName), 0, "cluster, node or form is missing"}
+	}
+	return &id, nil
+}
