Store: daemon, transport with mutual TLS, command line and operators' documents

Need: three real processes that agree, and configuration that operators change in one place (own replicated state).

Change: internal/store/node runs the core beside a gateway or alone (store serve); frames over TLS 1.3 with certificates of the store's own authority; members join by certificate and token as learners, are promoted when they have caught up, and are removed for good; documents are checked by JSON Schema, numbered, with history, diff and rollback; backup, verify and restore. The command line stands on cobra.

--- a/cmd/cloverrock/rig_test.go
+++ b/internal/app/rig_test.go
@@ -1,4 +1,4 @@
-package main
+package app
 
 import (
 	"bufio"
@@ -166,14 +166,14 @@
 	q.end(pgwire.AppendError(nil, pgwire.Error{Severity: "ERROR", Code: code, Message: "no"}))
 }
 
-// client is a client of the gateway.
-type client struct {
+// app is a client of the gateway.
+type app struct {
 	t  *testing.T
 	c  net.Conn
 	rd *bufio.Reader
 }
 
-func (r *rig) dial() *client {
+func (r *rig) dial() *app {
 	r.t.Helper()
 	if r.s != nil {
 		r.address = r.s.loop.Address()
@@ -184,11 +184,11 @@
 	}
 	r.t.Cleanup(func() { c.Close() })
 	_ = c.SetDeadline(time.Now().Add(limit))
-	return &client{r.t, c, bufio.NewReader(c)}
+	return &app{r.t, c, bufio.NewReader(c)}
 }
 
 // connect dials and goes through the startup.
-func (r *rig) connect() *client {
+func (r *rig) connect() *app {
 	r.t.Helper()
 	cl := r.dial()
 	cl.write(pgwire.AppendStartup(nil, "user", "worker", "database", "catalog"))
@@ -198,17 +198,17 @@
 	return cl
 }
 
-func (cl *client) write(b []byte) {
+func (cl *app) write(b []byte) {
 	cl.t.Helper()
 	if _, err := cl.c.Write(b); err != nil {
 		cl.t.Fatal(err)
 	}
 }
 
-func (cl *client) query(text string) { cl.t.Helper(); cl.write(pgwire.AppendQuery(nil, text)) }
+func (cl *app) query(text string) { cl.t.Helper(); cl.write(pgwire.AppendQuery(nil, text)) }
 
 // answer reads until the gateway is ready, or closes, and puts what came into words.
-func (cl *client) answer() string {
+func (cl *app) answer() string {
 	cl.t.Helper()
 	var got []string
 	for {
@@ -237,7 +237,7 @@
 }
 
 // ends waits for the end. A client that went on sending may see a reset, which takes with it what was said last.
-func (cl *client) ends() {
+func (cl *app) ends() {
 	cl.t.Helper()
 	if _, err := io.Copy(io.Discard, cl.rd); errors.Is(err, os.ErrDeadlineExceeded) {
 		cl.t.Fatal("the connection stays open")
@@ -245,7 +245,7 @@
 }
 
 // want fails the test unless the next answer is the given one.
-func (cl *client) want(answer string) {
+func (cl *app) want(answer string) {
 	cl.t.Helper()
 	if got := cl.answer(); got != answer {
 		cl.t.Fatalf("answered %q, want %q", got, answer)
--- a/cmd/cloverrock/serve_test.go
+++ b/internal/app/serve_test.go
@@ -1,7 +1,8 @@
-package main
+package app
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -11,6 +12,9 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
 	"cloverrock/internal/config"
 	"cloverrock/internal/pgwire"
 )
@@ -264,7 +268,7 @@
 		"leaves in silence": {in: pgwire.AppendTerminate(nil), want: []string{"closed"}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var cl *client
+			var cl *app
 			if c.raw != nil {
 				cl = r.dial()
 				cl.write(c.raw)
@@ -344,6 +348,16 @@
 	}
 }
 
+// alone is a gateway without the parts of a larger build.
+type alone struct{}
+
+func (alone) Commands(func(string) string) []*cobra.Command { return nil }
+func (alone) Check(string) error                            { return nil }
+func (alone) ExitCode(error) int                            { return ExitFailed }
+func (alone) Open(string, func(string) string, zerolog.Logger) (Part, error) {
+	return nil, errors.New("no such part")
+}
+
 func TestCommands(t *testing.T) {
 	env := func(string) string { return "" }
 	for _, c := range []struct {
@@ -351,11 +365,11 @@
 		code int
 		want string
 	}{
-		{"version", 0, "cloverrock "}, {"help", 0, "usage"}, {"check", 1, "EDGE_CONFIG"}, {"serve", 1, "EDGE_CONFIG"},
-		{"", 1, "EDGE_CONFIG"}, {"serve -x", 2, "usage"}, {"version now", 2, "no arguments"}, {"dance", 2, "usage"},
+		{"version", 0, "cloverrock "}, {"help", 0, "Usage"}, {"check", 1, "EDGE_CONFIG"}, {"serve", 1, "EDGE_CONFIG"},
+		{"", 1, "EDGE_CONFIG"}, {"serve -x", 2, "Usage"}, {"version now", 2, "no arguments"}, {"dance", 2, "Usage"},
 	} {
 		var out bytes.Buffer
-		if code := run(strings.Fields(c.args), env, io.MultiWriter(&out), &out); code != c.code || !strings.Contains(out.String(), c.want) {
+		if code := Main(strings.Fields(c.args), env, io.MultiWriter(&out), &out, alone{}); code != c.code || !strings.Contains(out.String(), c.want) {
 			t.Errorf("%q: %d, %q", c.args, code, out.String())
 		}
 	}
@@ -456,9 +470,9 @@
 	write(r.file(r.disc.Addr()))
 	log, code := make(lines, 1024), make(chan int, 1)
 	go func() {
-		code <- run(nil, func(k string) string {
+		code <- Main(nil, func(k string) string {
 			return map[string]string{"EDGE_CONFIG": path, "EDGE_DISCOVERY": r.disc.Addr().String()}[k]
-		}, io.Discard, log)
+		}, io.Discard, log, alone{})
 	}()
 	_, rest, _ := strings.Cut(log.until(t, `"serving"`), `"listen":"`)
 	r.address, _, _ = strings.Cut(rest, `"`)
@@ -640,14 +654,14 @@
 // Any number of silent connections leaves the clients that ask theirs.
 func TestSilentClientsCrowdNobodyOut(t *testing.T) {
 	r := start(t, 0, func(c *config.Config) { c.Sockets = reserved + 8 }) // 4 clients
-	var usual []*client
+	var usual []*app
 	for id := 0; id < 2; id++ {
 		usual = append(usual, r.connect())
 		usual[id].query(text(writeText, id))
 		r.hosts[0].next().answer("v")
 		usual[id].want("value v")
 	}
-	silent := []*client{r.connect(), r.connect()}
+	silent := []*app{r.connect(), r.connect()}
 	for range 10 {
 		silent = append(silent, r.connect())
 		silent[0].want("closed")
@@ -663,14 +677,14 @@
 // Clients that asked once and stay make room for new ones, however slowly those come to their first query.
 func TestClientsThatStayMakeRoom(t *testing.T) {
 	r := start(t, 0, func(c *config.Config) { c.Sockets = reserved + 8 }) // 4 clients
-	var stay []*client
+	var stay []*app
 	for id := 0; id < 4; id++ {
 		stay = append(stay, r.connect())
 		stay[id].query(text(writeText, id))
 		r.hosts[0].next().answer("v")
 		stay[id].want("value v")
 	}
-	slow := []*client{r.connect(), r.connect()}
+	slow := []*app{r.connect(), r.connect()}
 	stay[0].want("closed")
 	stay[1].want("closed")
 	for id, cl := range slow {
@@ -684,7 +698,7 @@
 // there is room here: their side has only so many.
 func TestClientsThatStayAreThinned(t *testing.T) {
 	r := start(t, 0, func(c *config.Config) { c.Sockets = reserved + 64 }) // 35 clients, of which 26 may have asked
-	var stay []*client
+	var stay []*app
 	for id := 0; id < 27; id++ {
 		stay = append(stay, r.connect())
 		stay[id].query(text(writeText, id))
--- a/cmd/cloverrock/server.go
+++ b/internal/app/server.go
@@ -1,4 +1,4 @@
-package main
+package app
 
 import (
 	"os"
@@ -110,28 +110,43 @@
 }
 
 // signals follows the operators' signals until the program ends.
-func (s *server) signals(c <-chan os.Signal, getenv func(string) string) {
+func (s *server) signals(c <-chan os.Signal, reread func() (*config.Config, error)) {
 	for sig := range c {
 		if sig != syscall.SIGHUP {
 			s.loop.Post(s.drain)
 			continue
 		}
-		conf, err := config.Reload(getenv) // here, so that no request waits for the file
+		conf, err := reread() // here, so that no request waits for the file
 		s.loop.Post(func() { s.reload(conf, err) })
 	}
 }
 
-// reload goes over to a configuration that was read while serving. One that is bad changes nothing.
-func (s *server) reload(conf *config.Config, err error) {
+// Reload implements Gateway.
+func (s *server) Reload(conf *config.Config, err error) (restart []string, ok bool) {
+	done := make(chan []string, 1)
+	s.loop.Post(func() { done <- s.reload(conf, err) })
+	select {
+	case keys := <-done:
+		return keys, true
+	case <-s.loop.Done():
+		return nil, false
+	}
+}
+
+// reload goes over to a configuration that was read while serving, and names the keys that need a restart. One that
+// is bad changes nothing.
+func (s *server) reload(conf *config.Config, err error) []string {
 	if err != nil {
 		s.log.Error().Err(err).Msg("reload: the running configuration stays")
-		return
+		return nil
 	}
-	if keys := s.conf.Fixed(conf); len(keys) > 0 {
+	keys := s.conf.Fixed(conf)
+	if len(keys) > 0 {
 		s.log.Warn().Strs("keys", keys).Msg("reload: these keys need a restart; they stay as they were")
 	}
 	s.log.Info().Str("discovery", conf.Discovery).Msg("reloaded")
 	s.watch.Move(conf.Discovery)
+	return keys
 }
 
 // drain begins the end: new connections are taken for a while yet, what is held is finished, then Run returns.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,13 +47,19 @@
 func fault(key, format string, a ...any) error { return &Error{key, fmt.Errorf(format, a...)} }
 
 // Load reads the file that EDGE_CONFIG names. EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY override its keys.
-func Load(getenv func(string) string) (*Config, error) { return load(getenv, false) }
+func Load(getenv func(string) string) (*Config, error) { return load(getenv, false, nil) }
+
+// LoadUnder reads the file and puts a document of the store over it: the keys that the document has for all, and then
+// those that it has for this instance, go before the file's and, as on a reload, EDGE_DISCOVERY.
+func LoadUnder(getenv func(string) string, document []byte) (*Config, error) {
+	return load(getenv, true, document)
+}
 
 // Reload reads the file again while the program runs. The environment is still that of the start, so here the
 // file's own discovery goes before EDGE_DISCOVERY: else no new address would ever be followed.
-func Reload(getenv func(string) string) (*Config, error) { return load(getenv, true) }
+func Reload(getenv func(string) string) (*Config, error) { return load(getenv, true, nil) }
 
-func load(getenv func(string) string, again bool) (*Config, error) {
+func load(getenv func(string) string, again bool, over []byte) (*Config, error) {
 	path := getenv("EDGE_CONFIG")
 	if path == "" {
 		return nil, fault("EDGE_CONFIG", "not set; it names the configuration file")
@@ -62,9 +68,47 @@
 	if err != nil {
 		return nil, &Error{"EDGE_CONFIG", err}
 	}
+	if over == nil {
+		return parse(b, getenv, again)
+	}
+	if b, err = Overlay(b, over, getenv("EDGE_NAME")); err != nil {
+		return nil, err
+	}
 	return parse(b, getenv, again)
 }
 
+// Overlay puts a document over a file. The name is the instance's, if the file does not tell it.
+func Overlay(file, document []byte, name string) ([]byte, error) {
+	var keys, over map[string]json.RawMessage
+	if err := json.Unmarshal(file, &keys); err != nil {
+		return nil, decoding("", err)
+	}
+	if err := json.Unmarshal(document, &over); err != nil {
+		return nil, &Error{"document", err}
+	}
+	if name == "" {
+		_ = json.Unmarshal(keys["name"], &name)
+	}
+	var each map[string]map[string]json.RawMessage
+	if raw, ok := over["instances"]; ok {
+		if err := json.Unmarshal(raw, &each); err != nil {
+			return nil, &Error{"document.instances", err}
+		}
+	}
+	for _, layer := range []map[string]json.RawMessage{over, each[name]} {
+		for k, v := range layer {
+			if k != "instances" {
+				keys[k] = v
+			}
+		}
+	}
+	b, err := json.Marshal(keys)
+	if err != nil {
+		return nil, &Error{"document", err}
+	}
+	return b, nil
+}
+
 // Fixed names the keys in which o differs from c and that only a restart can change.
 func (c *Config) Fixed(o *Config) (keys []string) {
 	for _, k := range [...]struct {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -44,6 +44,7 @@
 	spare   []event
 	timers  timers
 	stopped bool
+	done    chan struct{}
 	packet  func(from net.Addr, b []byte)
 }
 
@@ -67,7 +68,7 @@
 // New returns a loop that may hold so many descriptors, and so many bytes read and not yet handled.
 func New(files, backlog int, log zerolog.Logger) *Loop {
 	now := time.Now()
-	l := &Loop{log: log, backlog: backlog, start: now, base: now.UnixMicro(), wake: make(chan struct{}, 1)}
+	l := &Loop{log: log, backlog: backlog, start: now, base: now.UnixMicro(), wake: make(chan struct{}, 1), done: make(chan struct{})}
 	l.room = sync.NewCond(&l.mu)
 	logging.SetLogger(engineLog{log})
 	// The engine keeps a table of this many connections from the start, and takes no descriptor beyond it.
@@ -161,6 +162,7 @@
 
 // Run handles events and timers until Stop. It is the loop's goroutine.
 func (l *Loop) Run() {
+	defer close(l.done)
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
 	for !l.stopped {
@@ -195,6 +197,9 @@
 	}
 }
 
+// Done is closed when Run has ended: what is posted from then on is not run.
+func (l *Loop) Done() <-chan struct{} { return l.done }
+
 // Stop ends Run after the event that is being handled. The sockets are left to the end of the process.
 func (l *Loop) Stop() { l.stopped = true }
 
--- a/internal/store/core/core.go
+++ b/internal/store/core/core.go
@@ -126,6 +126,7 @@
 	out            map[uint64]*transfer
 	in             map[uint64]*arrival
 	wantsSnapshot  bool
+	memberVersion  uint64            // grows when what is noted of members may have changed
 	force          bool              // a snapshot is due now
 	savedMembers   *raftpb.ConfState // as the newest snapshot has them
 	held           []byte            // the encoded snapshot that transfers share
@@ -361,6 +362,12 @@
 	return best, true
 }
 
+// Leader is the instance that is taken for the leader; 0: none.
+func (c *Core) Leader() uint64 { return c.lead }
+
+// MembersVersion grows when what is noted of the members may have changed.
+func (c *Core) MembersVersion() uint64 { return c.memberVersion }
+
 // Leads tells whether this instance is the leader.
 func (c *Core) Leads() bool {
 	return c.lead == c.conf.ID && c.raw.BasicStatus().RaftState == raft.StateLeader
@@ -469,6 +476,7 @@
 		}
 		c.m, c.members, c.applied, c.saved = m.Speaking(c.conf.Format), meta.GetConfState(), meta.GetIndex(), meta.GetIndex()
 		c.savedMembers = meta.GetConfState()
+		c.memberVersion++
 	}
 	if w.Hard != nil {
 		if err := c.log.SetHardState(w.Hard); err != nil {
@@ -524,6 +532,9 @@
 		c.halt(fmt.Errorf("%w: entry %d: %w", ErrHalted, index, err))
 		return
 	}
+	if slices.ContainsFunc(cmd.Then, func(o machine.Op) bool { return o.Kind <= machine.Delete && (o.NS == MembersNS || o.NS == RemovedNS) }) {
+		c.memberVersion++
+	}
 	if w, mine := c.pending[cmd.Request]; mine {
 		delete(c.pending, cmd.Request)
 		c.answer(w.token, nil, res)
@@ -579,10 +590,17 @@
 	if c.saving != 0 || c.halted != nil || c.applied == c.saved || !force && !c.force && c.applied-c.saved < c.conf.Every {
 		return nil
 	}
-	c.saving = c.applied
+	s := c.Frozen()
+	if s != nil {
+		c.saving = c.applied
+	}
+	return s
+}
+
+// Frozen returns the present state as a snapshot, for a backup; nil if nothing was applied yet.
+func (c *Core) Frozen() *Save {
 	term, err := c.log.Term(c.applied)
-	if err != nil {
-		c.saving = 0
+	if err != nil || c.applied == 0 || c.halted != nil {
 		return nil
 	}
 	return &Save{&raftpb.SnapshotMetadata{Index: proto.Uint64(c.applied), Term: proto.Uint64(term), ConfState: c.members}, c.m.Image()}
--- a/internal/store/core/policy.go
+++ b/internal/store/core/policy.go
@@ -64,10 +64,15 @@
 	return found
 }
 
-// Removed tells whether an id was removed.
-func Removed(m *machine.Machine, id uint64) bool {
-	_, removed := m.Get(RemovedNS, MemberKey(id))
-	return removed
+// RemovedIDs lists the ids that were removed.
+func RemovedIDs(m *machine.Machine) (ids []uint64) {
+	for _, kv := range m.List(RemovedNS, "", 0) {
+		var id uint64
+		if _, err := fmt.Sscanf(kv.Key, "%016x", &id); err == nil {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 // Admit is the change by which an instance joins as a learner. One of the same name that is a member yet has lost
--- a/internal/store/disk/log.go
+++ b/internal/store/disk/log.go
@@ -144,6 +144,9 @@
 // note writes down how far the log is synced. The note itself is not synced: when the process dies, it is there
 // and tells a damaged end from a torn one; when the machine dies, an older note tells it of less.
 func (l *Log) note() error {
+	if l.noSync {
+		return nil
+	}
 	if l.mark == nil {
 		f, err := l.fs.Create(markName)
 		if err != nil {
@@ -273,6 +276,38 @@
 // OpenLog reads a log from the disk and goes on at its end. A torn end is cut; any other damage is an error that
 // names its place.
 func OpenLog(fs FS, o Options) (*Log, *Loaded, error) {
+	l, got, err := readLog(fs, o)
+	if err != nil {
+		return nil, nil, err
+	}
+	name := segmentName(l.seq)
+	if l.size == 0 { // the segment's own beginning was torn
+		l.segs = l.segs[:len(l.segs)-1]
+		if err := l.begin(l.seq); err != nil {
+			return nil, nil, err
+		}
+		return l, got, nil
+	}
+	if got.Cut > 0 {
+		if err := fs.Truncate(name, l.size); err != nil {
+			return nil, nil, fmt.Errorf("store: cut the torn end of %s: %w", fs.Name(name), err)
+		}
+	}
+	if l.file, err = fs.Append(name); err != nil {
+		return nil, nil, fmt.Errorf("store: open %s: %w", fs.Name(name), err)
+	}
+	// What was read may never have been synced: a process that died leaves it with the kernel. It counts from now on.
+	if err := l.sync(l.file); err != nil {
+		return nil, nil, fmt.Errorf("store: sync %s: %w", fs.Name(name), err)
+	}
+	if err := l.note(); err != nil {
+		return nil, nil, err
+	}
+	return l, got, nil
+}
+
+// readLog reads all segments and changes nothing.
+func readLog(fs FS, o Options) (*Log, *Loaded, error) {
 	seqs, err := segments(fs)
 	if err != nil {
 		return nil, nil, err
@@ -295,21 +330,11 @@
 			return nil, nil, err
 		}
 	}
-	if last := seqs[len(seqs)-1]; markSeq > last {
+	l.seq = seqs[len(seqs)-1]
+	if markSeq > l.seq {
 		return nil, nil, &CorruptError{fs.Name(segmentName(markSeq)), 0, "the segment is missing, and was synced"}
 	}
 	l.hard = got.Hard
-	l.seq = seqs[len(seqs)-1]
-	if l.file, err = fs.Append(segmentName(l.seq)); err != nil {
-		return nil, nil, fmt.Errorf("store: open %s: %w", fs.Name(segmentName(l.seq)), err)
-	}
-	// What was read may never have been synced: a process that died leaves it with the kernel. It counts from now on.
-	if err := l.sync(l.file); err != nil {
-		return nil, nil, fmt.Errorf("store: sync %s: %w", fs.Name(segmentName(l.seq)), err)
-	}
-	if err := l.note(); err != nil {
-		return nil, nil, err
-	}
 	return l, got, nil
 }
 
@@ -375,7 +400,7 @@
 	} else if got.Snap != nil {
 		cur.last = got.Snap.GetIndex()
 	}
-	if whole == len(b) {
+	if whole == len(b) && whole > 0 {
 		l.size = int64(whole)
 		return nil
 	}
@@ -387,27 +412,10 @@
 	case beginsBehind(b, at):
 		return corrupt(at, "a record does not match its checksum, and a later batch follows")
 	}
-	got.Cut = int64(len(b) - whole)
-	l.size = int64(whole)
-	if whole == 0 {
-		return l.rewrite(seq)
-	}
-	if err := l.fs.Truncate(name, int64(whole)); err != nil {
-		return fmt.Errorf("store: cut the torn end of %s: %w", l.fs.Name(name), err)
-	}
+	got.Cut, l.size = int64(len(b)-whole), int64(whole)
 	return nil
 }
 
-// rewrite begins a segment anew whose own beginning was torn.
-func (l *Log) rewrite(seq uint64) error {
-	l.segs = l.segs[:len(l.segs)-1]
-	l.file = nil
-	if err := l.begin(seq); err != nil {
-		return err
-	}
-	return l.file.Close()
-}
-
 // entry adds one entry. One whose index is there already replaces it and all behind it, as raft decided.
 func (g *Loaded) entry(e *raftpb.Entry, at int, corrupt func(int, string) error) error {
 	first := e.GetIndex()
--- a/internal/store/disk/store.go
+++ b/internal/store/disk/store.go
@@ -138,3 +138,36 @@
 
 // Close closes the log.
 func (s *Store) Close() error { return s.Log.Close() }
+
+// Look is what Inspect found.
+type Look struct {
+	Opened
+	Identity Identity
+	Segments int
+}
+
+// Inspect reads a directory whole and changes nothing in it.
+func Inspect(fs FS) (*Look, error) {
+	id, err := LoadIdentity(fs)
+	if err != nil {
+		return nil, err
+	}
+	if id == nil {
+		return nil, ErrEmpty
+	}
+	l := &Look{Identity: *id}
+	if l.Snapshot, l.Name, err = LoadSnapshot(fs); err != nil {
+		return nil, err
+	}
+	if l.Snapshot != nil {
+		if _, _, err := DecodeSnapshot(l.Name, l.Snapshot); err != nil {
+			return nil, err
+		}
+	}
+	log, loaded, err := readLog(fs, Options{})
+	if err != nil {
+		return nil, err
+	}
+	l.Loaded, l.Segments = loaded, len(log.segs)
+	return l, nil
+}
