--- a/internal/store/disk/store.go
+++ b/internal/store/disk/store.go
@@ -171,3 +171,22 @@
 	l.Loaded, l.Segments = loaded, len(log.segs)
 	return l, nil
 }
+
+// Forget drops from a directory that no process uses what its log was not sure to hold on the disk, as a loss of power
+// may do. Rehearsals use it: a process that is killed leaves its writes with the kernel, which loses none of them.
+func Forget(fs FS) error {
+	seq, size := readMark(fs)
+	seqs, err := segments(fs)
+	if err != nil || seq == 0 {
+		return err
+	}
+	for _, s := range seqs {
+		if s > seq {
+			err = errors.Join(err, fs.Remove(segmentName(s)))
+		}
+	}
+	if err == nil {
+		err = fs.Truncate(segmentName(seq), size)
+	}
+	return err
+}
