--- a/internal/app/commands.go
+++ b/internal/app/commands.go
@@ -14,7 +14,9 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"cloverrock/balance"
 	"cloverrock/internal/config"
+	"cloverrock/internal/discovery"
 )
 
 // Exit codes.
@@ -50,7 +52,12 @@
 
 // Gateway is what a part may ask of a running gateway, from any goroutine.
 type Gateway interface {
-	Reload(conf *config.Config, err error) (restart []string, ok bool) // goes over to a configuration; names the keys that need a restart
+	// Reload goes over to a configuration and names the keys that need a restart.
+	Reload(conf *config.Config, err error) (restart []string, ok bool)
+	// Learned is what the gateway knows, and its list of hosts.
+	Learned() (balance.Facts, discovery.List, bool)
+	// Believe gives it what another has learned, and a list if that is younger than its own; nil: none.
+	Believe(balance.Facts, *discovery.List)
 }
 
 // Main carries out a command and returns the exit code.
@@ -156,7 +163,7 @@
 		defer part.Close()
 		conf = part.Configured(conf)
 	}
-	s, err := newServer(conf, patience{silence, resting}, log)
+	s, err := newServer(conf, patience{silence, resting}, part != nil, log)
 	if err != nil {
 		log.Error().Err(err).Msg("cannot start")
 		return err
--- a/internal/app/rig_test.go
+++ b/internal/app/rig_test.go
@@ -365,7 +365,7 @@
 	for _, f := range change {
 		f(conf)
 	}
-	if r.s, err = newServer(conf, r.patience, zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.ErrorLevel)); err != nil {
+	if r.s, err = newServer(conf, r.patience, false, zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.ErrorLevel)); err != nil {
 		t.Fatal(err)
 	}
 	go func() {
--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -45,6 +45,7 @@
 	watch    *discovery.Watch
 	overlap  int64
 	draining bool
+	list     discovery.List // all that is listed now
 }
 
 // clock lends the loop's clock to the gateway.
@@ -56,10 +57,12 @@
 // patience is how long clients may be silent, and rest.
 type patience struct{ silence, resting int64 }
 
-func newServer(conf *config.Config, p patience, log zerolog.Logger) (*server, error) {
+func newServer(conf *config.Config, p patience, beside bool, log zerolog.Logger) (*server, error) {
 	// A gateway has one core. With two threads at a time a request took 107 us to its first attempt and 1.0 s of
 	// CPU went into a calm day; with one, 76 us and 0.7 s.
-	runtime.GOMAXPROCS(1)
+	if !beside { // with a store beside it, that has a thread of its own
+		runtime.GOMAXPROCS(1)
+	}
 	debug.SetMemoryLimit(int64(conf.MemoryMB) << 20 * 6 / 10)
 	router, err := balance.New(conf.Settings, conf.Seed)
 	if err != nil {
@@ -105,10 +108,36 @@
 			gone = append(gone, e.Host)
 		}
 	}
+	s.list.Merge(l)
 	s.pool.List(l.Addresses, gone, l.Full)
 	s.gateway.Listed(l.Entries, l.Full)
 }
 
+// Learned implements Gateway.
+func (s *server) Learned() (f balance.Facts, l discovery.List, ok bool) {
+	done := make(chan struct{})
+	s.loop.Post(func() {
+		f, l = s.gateway.Facts(), s.list.Clone()
+		close(done)
+	})
+	select {
+	case <-done:
+		return f, l, true
+	case <-s.loop.Done():
+		return f, l, false
+	}
+}
+
+// Believe implements Gateway. A list that is older than what discovery has told meanwhile is passed over.
+func (s *server) Believe(f balance.Facts, l *discovery.List) {
+	s.loop.Post(func() {
+		if l != nil && l.Generation > s.list.Generation {
+			s.listed(*l)
+		}
+		s.gateway.Believe(f)
+	})
+}
+
 // signals follows the operators' signals until the program ends.
 func (s *server) signals(c <-chan os.Signal, reread func() (*config.Config, error)) {
 	for sig := range c {
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 
 	"cloverrock/balance"
@@ -21,6 +22,39 @@
 	Addresses  map[string]string // by host
 }
 
+// Merge takes a list, or the changes of one, into this one. Hosts that are gone are dropped.
+func (l *List) Merge(next List) {
+	if next.Full || l.Addresses == nil {
+		l.Entries, l.Addresses = nil, map[string]string{}
+	}
+	l.Generation, l.Full = next.Generation, true
+	for _, e := range next.Entries {
+		i := slices.IndexFunc(l.Entries, func(o balance.Entry) bool { return o.Host == e.Host })
+		switch {
+		case e.Phase == balance.Gone && i >= 0:
+			l.Entries = slices.Delete(l.Entries, i, i+1)
+			delete(l.Addresses, e.Host)
+			continue
+		case e.Phase == balance.Gone:
+			continue
+		case i >= 0:
+			l.Entries[i] = e
+		default:
+			l.Entries = append(l.Entries, e)
+		}
+		if a := next.Addresses[e.Host]; a != "" {
+			l.Addresses[e.Host] = a
+		}
+	}
+}
+
+// Clone returns a list that shares nothing with this one.
+func (l *List) Clone() List {
+	c := *l
+	c.Entries, c.Addresses = slices.Clone(l.Entries), maps.Clone(l.Addresses)
+	return c
+}
+
 // Decode reads a list. One that is wrong in any part is turned down whole.
 func Decode(b []byte, names Names) (List, error) {
 	var raw struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -197,6 +197,16 @@
 	g.tell(balance.Event{Kind: balance.PeerEvent, Peer: peer, Data: data})
 }
 
+// Facts is what the module knows and a fresh one would need.
+func (g *Gateway) Facts() balance.Facts { return g.router.Facts() }
+
+// Believe gives the module facts that another has learned.
+func (g *Gateway) Believe(f balance.Facts) {
+	for _, a := range g.router.Believe(g.clock.Now(), f, nil) {
+		g.act(&a)
+	}
+}
+
 // tell hands events to the module one at a time, each in a round of its own: what an action brings about at
 // once waits until the actions of its round are done.
 func (g *Gateway) tell(ev balance.Event) {
--- a/internal/lab/chaos/chaos.go
+++ b/internal/lab/chaos/chaos.go
@@ -84,7 +84,7 @@
 func Run(ctx context.Context, o Options) (*Result, error) {
 	if o.Program == "" {
 		var err error
-		if o.Program, err = beside(); err != nil {
+		if o.Program, err = Beside(); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/lab/chaos/cluster.go
+++ b/internal/lab/chaos/cluster.go
@@ -189,8 +189,8 @@
 
 var errProgram = errors.New("the program under rehearsal is missing; build it beside this one")
 
-// beside finds the gateway's program next to this one.
-func beside() (string, error) {
+// Beside finds the gateway's program next to this one.
+func Beside() (string, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return "", err
--- /dev/null
+++ b/internal/lab/standin/load.go
@@ -0,0 +1,174 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"cloverrock/internal/pgwire"
+)
+
+// Class is a class of requests.
+type Class struct {
+	Name            string
+	Share           float64
+	Aim, Deadline   time.Duration
+	Worth, LatePart float64
+	Write, Own      bool
+}
+
+// Classes are those of the deployment.
+var Classes = [...]Class{
+	{Name: "zone-lookup", Share: 0.58, Aim: 300 * time.Millisecond, Deadline: 750 * time.Millisecond, Worth: 1},
+	{Name: "own-zone-read", Share: 0.32, Aim: 200 * time.Millisecond, Deadline: 800 * time.Millisecond, Worth: 1, Own: true},
+	{Name: "zone-change", Share: 0.10, Aim: 500 * time.Millisecond, Deadline: 3 * time.Second, Worth: 3, LatePart: 0.7, Write: true},
+}
+
+// Sample is one request, counted from the time for which it was scheduled.
+type Sample struct {
+	At     time.Time
+	Class  int
+	Served bool
+	Took   time.Duration
+}
+
+// Earned is the worth that a sample brought, and Asked what it could have.
+func (s Sample) Earned() float64 {
+	c := Classes[s.Class]
+	switch {
+	case !s.Served || s.Took > c.Deadline:
+		return 0
+	case s.Took > c.Aim:
+		return c.Worth * c.LatePart
+	}
+	return c.Worth
+}
+
+// Asked is the worth that a sample could have brought.
+func (s Sample) Asked() float64 { return Classes[s.Class].Worth }
+
+// Load sends requests on schedule, whether or not answers come, until the context ends.
+type Load struct {
+	Address string
+	Rate    float64 // a second
+	Seed    uint64
+	mu      sync.Mutex
+	samples []Sample
+	idle    []net.Conn
+	id      int
+}
+
+// Run sends until the context ends, and waits for the last answers.
+func (l *Load) Run(ctx context.Context) []Sample {
+	rng := rand.New(rand.NewPCG(l.Seed, 3))
+	var wg sync.WaitGroup
+	for at := time.Now(); ctx.Err() == nil; at = at.Add(time.Duration(rng.ExpFloat64() / l.Rate * 1e9)) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(at)):
+		}
+		class, r := 0, rng.Float64()
+		for class < len(Classes)-1 && r >= Classes[class].Share {
+			r -= Classes[class].Share
+			class++
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			served := l.ask(class, at) == nil
+			l.mu.Lock()
+			l.samples = append(l.samples, Sample{at, class, served, time.Since(at)})
+			l.mu.Unlock()
+		}()
+	}
+	wg.Wait()
+	for _, c := range l.idle {
+		c.Close()
+	}
+	return l.samples
+}
+
+var errNotServed = errors.New("standin: not served")
+
+func (l *Load) ask(class int, at time.Time) error {
+	c := Classes[class]
+	l.mu.Lock()
+	l.id++
+	id := l.id
+	var conn net.Conn
+	if n := len(l.idle); n > 0 {
+		conn, l.idle = l.idle[n-1], l.idle[:n-1]
+	}
+	l.mu.Unlock()
+	until := at.Add(c.Deadline)
+	if conn != nil {
+		// The gateway may have closed it while it rested; then nothing was asked yet.
+		_ = conn.SetReadDeadline(time.Now().Add(time.Microsecond))
+		var one [1]byte
+		if _, err := conn.Read(one[:]); err != nil && !isTimeout(err) {
+			conn.Close()
+			conn = nil
+		}
+	}
+	if conn == nil {
+		var err error
+		if conn, err = net.DialTimeout("tcp4", l.Address, time.Until(until)); err != nil {
+			return err
+		}
+		_ = conn.SetDeadline(until)
+		if _, err := conn.Write(pgwire.AppendStartup(nil, "user", "lab", "database", "lab")); err != nil {
+			conn.Close()
+			return err
+		}
+		if err := ready(bufio.NewReaderSize(conn, 512)); err != nil {
+			conn.Close()
+			return err
+		}
+	}
+	_ = conn.SetDeadline(until)
+	own := ""
+	if c.Own {
+		own = fmt.Sprintf(",after=%d", time.Now().Add(-300*time.Millisecond).UnixMilli())
+	}
+	text := fmt.Sprintf("/* id=%d,c=%s,d=%d,cluster=1%s */ SELECT body FROM objects WHERE oid = 'k'", id, c.Name, time.Until(until).Milliseconds(), own)
+	if c.Write {
+		text = fmt.Sprintf("/* id=%d,c=%s,d=%d,cluster=1 */ INSERT INTO objects (oid, body) VALUES ('k', 'v') RETURNING body", id, c.Name, time.Until(until).Milliseconds())
+	}
+	_, err := conn.Write(pgwire.AppendQuery(nil, text))
+	if err == nil {
+		err = ready(bufio.NewReader(conn))
+	}
+	if err != nil && !errors.Is(err, errNotServed) {
+		conn.Close()
+		return err
+	}
+	l.mu.Lock()
+	l.idle = append(l.idle, conn)
+	l.mu.Unlock()
+	return err
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// ready reads up to the next ReadyForQuery.
+func ready(rd *bufio.Reader) (err error) {
+	for {
+		m, bad := Read(rd)
+		switch {
+		case bad != nil:
+			return bad
+		case m.Type == 'E':
+			err = errNotServed
+		case m.Type == 'Z':
+			return err
+		}
+	}
+}
--- a/internal/storecli/daemon.go
+++ b/internal/storecli/daemon.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 
 	"cloverrock/internal/app"
 	"cloverrock/internal/config"
+	"cloverrock/internal/learned"
 	"cloverrock/internal/settings"
 	"cloverrock/internal/store/client"
 	"cloverrock/internal/store/disk"
@@ -117,6 +119,8 @@
 	node    atomic.Pointer[node.Node]
 	gateway app.Gateway
 
+	keeper *learned.Keeper // nil: what is learned is not kept
+
 	mu      sync.Mutex
 	running documents.Running
 	latest  []byte // the document that runs or was last tried
@@ -146,6 +150,10 @@
 func startDaemon(set *settings.Settings, getenv func(string) string, log zerolog.Logger) *daemon {
 	d := &daemon{set: set, getenv: getenv, log: log, opened: make(chan struct{})}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
+	if l := set.Learned; l != nil {
+		d.keeper = learned.New(learned.Config{Name: set.Store.Name, Every: l.WriteMS * 1000, Believe: l.BelieveMS * 1000})
+	}
+	runtime.GOMAXPROCS(2) // the store's goroutines beside the one that owns the requests
 	d.wg.Add(1)
 	go func() {
 		defer d.wg.Done()
@@ -247,6 +255,11 @@
 		if n == nil {
 			return
 		}
+		if d.keeper != nil {
+			d.believe(n)
+			d.wg.Add(1)
+			go func() { defer d.wg.Done(); d.keep(n) }()
+		}
 		d.wg.Add(2)
 		go func() { defer d.wg.Done(); d.follow(n) }()
 		go func() { defer d.wg.Done(); d.report(n) }()
