--- /dev/null
+++ b/internal/lab/sim/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package sim
+
+const raceEnabled = true
--- a/internal/store/client/client.go
+++ b/internal/store/client/client.go
@@ -80,6 +80,7 @@
 	if c.conn != nil {
 		select {
 		case <-c.conn.gone:
+			c.conn = nil // or a dial that fails would not lead on to the next instance
 		default:
 			return c.conn, nil
 		}
--- a/internal/store/core/core.go
+++ b/internal/store/core/core.go
@@ -350,7 +350,7 @@
 	}
 	best, match := uint64(0), uint64(0)
 	c.raw.WithProgress(func(id uint64, typ raft.ProgressType, pr progress) {
-		if id != c.conf.ID && typ == raft.ProgressTypePeer && pr.RecentActive && pr.Match >= match {
+		if id != c.conf.ID && typ == raft.ProgressTypePeer && c.active(id) && pr.Match >= match {
 			best, match = id, pr.Match
 		}
 	})
--- a/internal/store/core/policy.go
+++ b/internal/store/core/policy.go
@@ -138,7 +138,7 @@
 	commit := c.raw.BasicStatus().HardState.GetCommit()
 	ready := uint64(0)
 	c.raw.WithProgress(func(id uint64, typ raft.ProgressType, pr progress) {
-		if typ != raft.ProgressTypeLearner || !pr.RecentActive || pr.Match+caughtUp < commit {
+		if typ != raft.ProgressTypeLearner || !c.active(id) || pr.Match+caughtUp < commit {
 			c.caught[id] = 0
 			return
 		}
@@ -153,6 +153,13 @@
 	}
 }
 
+// active tells whether an instance was heard of late. Raft's own word on that is taken back at each check of the
+// quorum, and says nothing just then.
+func (c *Core) active(id uint64) bool {
+	at, heard := c.heard[id]
+	return heard && c.now-at <= int64(c.conf.Election)
+}
+
 // Peer is what a leader knows of another instance.
 type Peer struct {
 	ID      uint64 `json:"id"`
@@ -198,7 +205,7 @@
 	}
 	if c.Leads() {
 		c.raw.WithProgress(func(id uint64, typ raft.ProgressType, pr progress) {
-			s.Peers = append(s.Peers, Peer{id, pr.Match, pr.State.String(), pr.RecentActive || id == c.conf.ID, typ == raft.ProgressTypeLearner})
+			s.Peers = append(s.Peers, Peer{id, pr.Match, pr.State.String(), c.active(id) || id == c.conf.ID, typ == raft.ProgressTypeLearner})
 		})
 		slices.SortFunc(s.Peers, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
 	}
