Simulate deaths in the middle of disk operations, and test what is learned and believed

Need: a machine dies between any two changes of its disk, not only between two steps of the store.

Change: the simulated disk ends its machine at a chosen write, rename, removal or sync, mid-write too.

--- /dev/null
+++ b/balance/facts_test.go
@@ -0,0 +1,58 @@
+package balance
+
+import "testing"
+
+// A fresh router that believes another's facts sends writes to the primary that it found, and asks nobody first.
+func TestBeliefIsAFirstGuess(t *testing.T) {
+	old := readyRig(t, testSettings())
+	old.report("a", false, old.now)
+	old.now += 10 * ms
+	old.report("c", true, old.now)
+	f := old.r.Facts()
+	if len(f.Groups) != 1 || f.Groups[0].Primary != "c" {
+		t.Fatalf("%+v", f)
+	}
+	fresh := newRig(t, testSettings(), trio()...) // its list names a
+	fresh.r.Believe(fresh.now, f, nil)
+	id, acts := fresh.ask(unsafe)
+	if to := sentTo(acts, id); to != "c" {
+		t.Fatalf("the write goes to %q", to)
+	}
+	if acts = fresh.answer(id, "c", Missed, RoleUnknown, 0); sentTo(acts, id) == "c" {
+		t.Error("a guess that was wrong is held on to")
+	}
+	if _, acts = fresh.askFor(latest, 0, 0); find(acts, SendAction, -1) != nil {
+		t.Error("a read that needs the primary goes to one that is not")
+	}
+}
+
+// What a router has seen itself goes before what it is told, and unknown hosts are passed over.
+func TestOwnEyesGoFirst(t *testing.T) {
+	g := readyRig(t, testSettings())
+	acts := g.r.Believe(g.now, Facts{Groups: []GroupFacts{{Group: 0, Primary: "b", At: g.now + 1000*ms}, {Group: 9, Primary: "b"}},
+		Hosts: []HostFacts{{Host: "a", Down: true, Limit: 99}, {Host: "nobody", Down: true}, {Host: "b", Group: 5, Position: g.now + 9}}}, nil)
+	if len(acts) != 0 || g.r.hosts["a"].cond != up || g.r.hosts["b"].pos > g.now {
+		t.Errorf("%+v", acts)
+	}
+	if id, acts := g.ask(unsafe); sentTo(acts, id) != "a" {
+		t.Error("the primary that was seen gets no writes")
+	}
+}
+
+// A host believed down gets nothing until a probe has answered, and a cold one keeps its budget.
+func TestBelievedDownAndColdAreSpared(t *testing.T) {
+	g := newRig(t, testSettings(), trio()...)
+	g.r.Believe(g.now, Facts{Hosts: []HostFacts{{Host: "a", Down: true}, {Host: "b", Position: g.now, ColdUntil: g.now + 10000*ms}, {Host: "c", Position: g.now}}}, nil)
+	for range 20 {
+		if id, acts := g.ask(recent); sentTo(acts, id) == "a" {
+			t.Fatal("a read goes to a host that is down")
+		}
+	}
+	if !g.r.hosts["b"].cold {
+		t.Error("b is not cold")
+	}
+	g.wait(2 * g.r.pace())
+	if a := find(g.report("a", true, g.now), SendAction, -1); a == nil || a.Host != "a" {
+		t.Errorf("a host that answers again gets nothing: %+v", a)
+	}
+}
--- a/internal/lab/sim/disk.go
+++ b/internal/lab/sim/disk.go
@@ -21,6 +21,19 @@
 	full     bool
 	failSync bool
 	lies     bool // syncs do nothing: what the checks must find out
+	dieIn    int  // the machine dies in the middle of the so manieth change from now; 0: it does not
+}
+
+// died is the panic by which a machine ends in the middle of what it does.
+type died struct{ d *vdisk }
+
+// step counts a change, and ends the machine if it is the one.
+func (d *vdisk) step() {
+	if d.dieIn > 0 {
+		if d.dieIn--; d.dieIn == 0 {
+			panic(died{d})
+		}
+	}
 }
 
 type vfile struct {
@@ -56,6 +69,7 @@
 }
 
 func (d *vdisk) Create(name string) (disk.File, error) {
+	d.step()
 	if d.full {
 		return nil, disk.ErrFull
 	}
@@ -80,6 +94,7 @@
 }
 
 func (d *vdisk) Rename(from, to string) error {
+	d.step()
 	f := d.names[from]
 	if f == nil {
 		return os.ErrNotExist
@@ -90,6 +105,7 @@
 }
 
 func (d *vdisk) Remove(name string) error {
+	d.step()
 	if d.names[name] == nil {
 		return os.ErrNotExist
 	}
@@ -98,6 +114,7 @@
 }
 
 func (d *vdisk) SyncDir() error {
+	d.step()
 	if d.failSync {
 		return errSync
 	}
@@ -116,7 +133,7 @@
 	if !d.lies && d.rng.IntN(2) == 0 { // the directory may have been written by itself
 		names = d.names
 	}
-	d.names, d.durable, d.failSync = map[string]*vfile{}, map[string]*vfile{}, false
+	d.names, d.durable, d.failSync, d.dieIn = map[string]*vfile{}, map[string]*vfile{}, false, 0
 	for _, n := range sorted(names) {
 		f := names[n]
 		f.lose()
@@ -160,6 +177,10 @@
 	if f.d.full {
 		return 0, disk.ErrFull
 	}
+	if f.d.dieIn == 1 { // in the middle of the write
+		f.data = append(f.data, b[:f.d.rng.IntN(len(b)+1)]...)
+	}
+	f.d.step()
 	f.data = append(f.data, b...)
 	return len(b), nil
 }
@@ -177,6 +198,7 @@
 }
 
 func (f *vfile) Truncate(size int64) error {
+	f.d.step()
 	f.keepOld(int(size))
 	f.data = f.data[:size:size]
 	return nil
@@ -189,6 +211,7 @@
 }
 
 func (f *vfile) Sync() error {
+	f.d.step()
 	if f.d.failSync {
 		return errSync
 	}
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -214,9 +214,31 @@
 
 func (w *world) logOptions() disk.Options { return disk.Options{Segment: 8 << 10} }
 
+// mortal is for the end of what may die in the middle: the machine is down then, and comes back.
+func (w *world) mortal(p *instance) {
+	switch e := recover().(type) {
+	case nil:
+	case died:
+		if e.d != p.disk {
+			panic(e)
+		}
+		i := w.place(p.id)
+		w.down(p, true)
+		life := p.life
+		w.after(500*ms, func() {
+			if p.core == nil && p.life == life {
+				w.start(i)
+			}
+		})
+	default:
+		panic(e)
+	}
+}
+
 // start starts the process at a place.
 func (w *world) start(i int) {
 	p := w.places[i]
+	defer w.mortal(p)
 	p.life++
 	if p.flipBy > 0 {
 		p.flip()
@@ -272,6 +294,7 @@
 
 // drive does an instance's work, as a daemon's loop does it.
 func (w *world) drive(p *instance) {
+	defer w.mortal(p)
 	for p.core != nil {
 		if p.core.WantsSnapshot() {
 			b, _, err := disk.LoadSnapshot(p.disk)
@@ -323,6 +346,7 @@
 	if s := p.core.Due(false); s != nil {
 		life := p.life
 		w.after(int64(w.rng.IntN(50))*ms, func() { // written in the background: a crash may come before its end
+			defer w.mortal(p)
 			if p.core != nil && p.life == life {
 				err := disk.SaveSnapshot(p.disk, s.Meta.GetIndex(), func(o io.Writer) error { return disk.EncodeSnapshot(o, s.Meta, s.Image.Write) })
 				if release := p.core.Saved(s, err); release > 0 {
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -50,7 +50,7 @@
 	i := w.rng.IntN(len(w.places))
 	p := w.places[i]
 	back := int64(100+w.rng.IntN(4000)) * ms
-	switch k := w.rng.IntN(12); k {
+	switch k := w.rng.IntN(14); k {
 	case 0, 1: // a process dies; the kernel keeps what it wrote
 		w.downFor(i, false, back)
 	case 2, 3: // the machine dies
@@ -94,6 +94,8 @@
 			w.downFor(i, false, back)
 			p.flipBy = 1
 		}
+	case 12, 13: // the machine dies in the middle of a write, a rename, a removal, a snapshot or a start
+		p.disk.dieIn = 1 + w.rng.IntN(12)
 	case 11:
 		if p.core != nil && !p.stuck {
 			p.core.Transfer()
@@ -206,7 +208,7 @@
 	w.cut = map[[2]int]bool{}
 	w.say("healed")
 	for i, p := range w.places {
-		p.disk.full, p.disk.failSync, p.speed = false, false, 100*ms
+		p.disk.full, p.disk.failSync, p.disk.dieIn, p.speed = false, false, 0, 100*ms
 		if p.core == nil {
 			w.start(i)
 		} else {
--- /dev/null
+++ b/internal/store/core/core_test.go
@@ -0,0 +1,167 @@
+package core
+
+import (
+	"errors"
+	"io"
+	"log"
+	"testing"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"cloverrock/internal/store/disk"
+	"cloverrock/internal/store/machine"
+)
+
+// net is cores that talk to each other at once, and save nothing.
+type net struct {
+	t     *testing.T
+	cores map[uint64]*Core
+	order []uint64
+	last  map[uint64]map[uint64]Answer // by core and token
+}
+
+func newNet(t *testing.T, formats ...uint8) *net {
+	t.Helper()
+	n := &net{t: t, cores: map[uint64]*Core{}, last: map[uint64]map[uint64]Answer{}}
+	var voters []uint64
+	var records []machine.Op
+	for i, f := range formats {
+		id := uint64(i + 1)
+		voters, n.order = append(voters, id), append(n.order, id)
+		op, err := MemberOp(id, Member{Name: string(rune('a' + i)), Format: f})
+		if err != nil {
+			t.Fatal(err)
+		}
+		records = append(records, op)
+	}
+	first, err := Founding(voters, records)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, f := range formats {
+		c, err := New(Config{ID: uint64(i + 1), Nonce: uint64(i+1) << 40, Format: f, Log: &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)}},
+			State{Snapshot: first, Name: "first", Log: &disk.Loaded{Hard: &raftpb.HardState{}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.cores[uint64(i+1)], n.last[uint64(i+1)] = c, map[uint64]Answer{}
+	}
+	return n
+}
+
+// settle does all work until there is none.
+func (n *net) settle() {
+	n.t.Helper()
+	for more := true; more; {
+		more = false
+		for _, id := range n.order {
+			for w := n.cores[id].Next(); w != nil; w = n.cores[id].Next() {
+				more = true
+				if err := n.cores[id].Done(w); err != nil {
+					n.t.Fatal(err)
+				}
+				for _, e := range append(w.Early, w.Late...) {
+					if c := n.cores[e.To]; c != nil {
+						c.Step(e)
+					}
+				}
+			}
+			for _, a := range n.cores[id].Answers() {
+				n.last[id][a.Token] = a
+			}
+		}
+	}
+}
+
+// lead has a core elected.
+func (n *net) lead(id uint64) *Core {
+	n.t.Helper()
+	if err := n.cores[id].raw.Campaign(); err != nil {
+		n.t.Fatal(err)
+	}
+	n.settle()
+	if !n.cores[id].Leads() {
+		n.t.Fatalf("%d does not lead", id)
+	}
+	return n.cores[id]
+}
+
+// The first command of a newer form comes only when all members understand it; an instance that meets one all the same
+// stops applying, says so, and leaves the others their quorum.
+func TestUpgradeSideBySide(t *testing.T) {
+	n := newNet(t, 1, machine.Format+1, machine.Format+1)
+	c := n.lead(2)
+	for range 3 * policyEvery {
+		c.Tick()
+		n.settle()
+	}
+	if c.Machine().Level() != 1 {
+		t.Fatal("the form was raised past what a member understands")
+	}
+	c.Propose(1, &machine.Command{V: machine.Format + 1, Kind: machine.TxnKind})
+	n.settle()
+	if a := n.last[2][1]; a.Err != nil {
+		t.Fatalf("a newer build: %+v", a)
+	}
+	old := n.cores[1]
+	if s := old.Status(); s.Halted == "" || s.Applied >= c.Status().Applied {
+		t.Errorf("an old build that met a newer record: %+v", s)
+	}
+	old.Propose(2, &machine.Command{Kind: machine.TxnKind})
+	old.Read(3)
+	n.settle()
+	for _, token := range []uint64{2, 3} {
+		if a := n.last[1][token]; !errors.Is(a.Err, ErrHalted) {
+			t.Errorf("%+v", a)
+		}
+	}
+	c.Propose(4, &machine.Command{Kind: machine.OpenKind})
+	n.settle()
+	if a := n.last[2][4]; a.Err != nil {
+		t.Errorf("the others do not go on: %+v", a)
+	}
+}
+
+func TestProposalIsForwardedAndReadWaitsForItsIndex(t *testing.T) {
+	n := newNet(t, 1, 1, 1)
+	n.lead(1)
+	n.cores[3].Propose(1, &machine.Command{Kind: machine.TxnKind, Then: []machine.Op{{Kind: machine.Put, NS: "n", Key: "k"}}})
+	n.settle()
+	n.cores[2].Read(2)
+	n.settle()
+	if a := n.last[3][1]; a.Err != nil || a.Result.Revision != 2 {
+		t.Errorf("at a follower: %+v", a)
+	}
+	if a := n.last[2][2]; a.Err != nil || a.Result.Revision != 2 {
+		t.Errorf("the read: %+v", a)
+	}
+	if age, known := n.cores[2].Age(); !known || age != 0 {
+		t.Errorf("age %d, known %t", age, known)
+	}
+}
+
+// Without a quorum a proposal is answered when its patience is over, and the age of the state grows.
+func TestAloneNothingIsAgreed(t *testing.T) {
+	n := newNet(t, 1, 1, 1)
+	c := n.lead(1)
+	delete(n.cores, 2)
+	delete(n.cores, 3)
+	n.order = []uint64{1}
+	c.Propose(1, &machine.Command{Kind: machine.OpenKind})
+	for range c.conf.Patience + 1 {
+		c.Tick()
+		n.settle()
+	}
+	if a := n.last[1][1]; !errors.Is(a.Err, ErrUnknown) {
+		t.Errorf("%+v", a)
+	}
+	c.Propose(2, &machine.Command{Kind: machine.OpenKind})
+	n.settle()
+	if a := n.last[1][2]; !errors.Is(a.Err, ErrNoLeader) {
+		t.Errorf("it still takes itself for the leader: %+v", a)
+	}
+	if age, _ := c.Age(); age < int64(c.conf.Patience) {
+		t.Errorf("age %d", age)
+	}
+}
--- /dev/null
+++ b/internal/store/node/bench_test.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"cloverrock/internal/store/core"
+	"cloverrock/internal/store/disk"
+	"cloverrock/internal/store/machine"
+)
+
+const benchClients = 64
+
+// spread runs b.N calls from so many clients at once and reports their rate and latency.
+func spread(b *testing.B, clients int, call func(client int) error) {
+	b.Helper()
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	hists := make([]*hdrhistogram.Histogram, clients)
+	var wg sync.WaitGroup
+	b.ResetTimer()
+	began := time.Now()
+	for c := range clients {
+		hists[c] = hdrhistogram.New(1, 10_000_000, 3)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for left.Add(-1) >= 0 {
+				at := time.Now()
+				if err := call(c); err != nil {
+					b.Error(err)
+					return
+				}
+				_ = hists[c].RecordValue(time.Since(at).Microseconds())
+			}
+		}()
+	}
+	wg.Wait()
+	b.StopTimer()
+	for _, h := range hists[1:] {
+		hists[0].Merge(h)
+	}
+	b.ReportMetric(float64(b.N)/time.Since(began).Seconds(), "op/s")
+	b.ReportMetric(float64(hists[0].ValueAtQuantile(50)), "p50-us")
+	b.ReportMetric(float64(hists[0].ValueAtQuantile(99)), "p99-us")
+}
+
+// benchRig is a store in one process, under real syncs, whose instances talk TLS over loopback.
+func benchRig(b *testing.B, instances int) (*rig, *Node) {
+	b.Helper()
+	r := newRig(b, instances)
+	n := r.nodes[r.leader()]
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		_, err := n.Propose(r.ctx, &machine.Command{Kind: machine.OpenKind})
+		if err == nil {
+			return r, n
+		}
+		if !errors.Is(err, core.ErrNoLeader) || time.Now().After(deadline) {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkPropose(b *testing.B) {
+	for _, instances := range []int{1, 3, 5} {
+		b.Run(fmt.Sprint("instances=", instances), func(b *testing.B) {
+			r, n := benchRig(b, instances)
+			value := bytes.Repeat([]byte("v"), 64)
+			spread(b, benchClients, func(c int) error {
+				_, err := n.Propose(r.ctx, &machine.Command{Kind: machine.TxnKind, Then: []machine.Op{{Kind: machine.Put, NS: "n", Key: fmt.Sprint(c), Value: value}}})
+				return err
+			})
+		})
+	}
+}
+
+func BenchmarkRead(b *testing.B) {
+	for _, instances := range []int{1, 3, 5} {
+		b.Run(fmt.Sprint("instances=", instances), func(b *testing.B) {
+			r, n := benchRig(b, instances)
+			spread(b, benchClients, func(int) error {
+				_, err := n.Read(r.ctx, false, func(m *machine.Machine) { m.Get("n", "k") })
+				return err
+			})
+		})
+	}
+}
+
+// BenchmarkDisk is what the disk alone allows: one batch of so many small entries and one sync at a time.
+func BenchmarkDisk(b *testing.B) {
+	for _, batch := range []int{1, 64} {
+		b.Run(fmt.Sprint("entries=", batch), func(b *testing.B) {
+			dir, err := disk.OpenDir(b.TempDir())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer dir.Close()
+			l, err := disk.CreateLog(dir, disk.Options{})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer l.Close()
+			data := bytes.Repeat([]byte("v"), 120)
+			index := uint64(0)
+			spread(b, 1, func(int) error {
+				entries := make([]*raftpb.Entry, batch)
+				for i := range entries {
+					index++
+					entries[i] = &raftpb.Entry{Index: proto.Uint64(index), Term: proto.Uint64(1), Data: data}
+				}
+				return l.Save(nil, nil, entries)
+			})
+		})
+	}
+}
+
+// BenchmarkSnapshot saves, reads and starts from a state of so many keys.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, keys := range []int{10_000, 1_000_000} {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		m := machine.New()
+		for at := 0; at < keys; at += 500 {
+			c := machine.Command{Kind: machine.TxnKind}
+			for i := at; i < at+500; i++ {
+				c.Then = append(c.Then, machine.Op{Kind: machine.Put, NS: "n", Key: fmt.Sprintf("key-%08d", i), Value: bytes.Repeat([]byte("v"), 64)})
+			}
+			cmd, err := machine.Encode(&c)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if _, _, err := m.Apply(m.Index()+1, cmd); err != nil {
+				b.Fatal(err)
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		dir, err := disk.OpenDir(b.TempDir())
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer dir.Close()
+		s := &core.Save{Meta: &raftpb.SnapshotMetadata{Index: proto.Uint64(m.Index()), Term: proto.Uint64(1), ConfState: &raftpb.ConfState{Voters: []uint64{1}}}, Image: m.Image()}
+		b.Run(fmt.Sprintf("save/keys=%d", keys), func(b *testing.B) {
+			for range b.N {
+				if err := disk.SaveSnapshot(dir, m.Index(), func(w io.Writer) error { return disk.EncodeSnapshot(w, s.Meta, s.Image.Write) }); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(keys), "heap-B/key")
+			if st, err := os.Stat(filepath.Join(dir.Name(""), fmt.Sprintf("snap-%016x", m.Index()))); err == nil {
+				b.ReportMetric(float64(st.Size())/float64(keys), "disk-B/key")
+			}
+		})
+		b.Run(fmt.Sprintf("recover/keys=%d", keys), func(b *testing.B) {
+			for range b.N {
+				snap, name, err := disk.LoadSnapshot(dir)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := core.New(core.Config{ID: 1, Log: raftLog{}}, core.State{Snapshot: snap, Name: name, Log: &disk.Loaded{Hard: &raftpb.HardState{}}}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/store/node/node_test.go
+++ b/internal/store/node/node_test.go
@@ -31,7 +31,7 @@
 
 // rig is a store whose instances run in this process.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	ctx     context.Context
 	confs   []Config
@@ -40,7 +40,7 @@
 	cluster uint64
 }
 
-func newRig(t *testing.T, instances int, change ...func(*Config)) *rig {
+func newRig(t testing.TB, instances int, change ...func(*Config)) *rig {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	t.Cleanup(cancel)
--- a/internal/store/node/server.go
+++ b/internal/store/node/server.go
@@ -400,6 +400,10 @@
 		if s := n.core.Status(); len(s.Voters) == 1 && s.Voters[0] == id {
 			return nil, refusal{errors.New("store: the last voter cannot be removed")}
 		}
+		if id == n.store.Identity.Node && n.core.Leads() { // it leaves in order: another leads first, and is asked then
+			n.core.Transfer()
+			return nil, core.ErrNoLeader
+		}
 		change, cmd := core.Dismiss(n.core.Machine(), id)
 		return func(token uint64) { n.core.Change(token, change, cmd) }, nil
 	})
--- a/internal/storecli/admin.go
+++ b/internal/storecli/admin.go
@@ -1,6 +1,7 @@
 package storecli
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/json"
@@ -20,8 +21,10 @@
 
 	"cloverrock/internal/app"
 	"cloverrock/internal/settings"
+	"cloverrock/internal/store/client"
 	"cloverrock/internal/store/core"
 	"cloverrock/internal/store/disk"
+	"cloverrock/internal/store/frame"
 	"cloverrock/internal/store/machine"
 	"cloverrock/internal/store/pki"
 )
@@ -204,6 +207,9 @@
 			if err := json.Unmarshal(b, f); err != nil {
 				return fmt.Errorf("%s: %w", file, err)
 			}
+			if err := s.unfounded(set, f); err != nil {
+				return err
+			}
 			return found(set, f)
 		}}
 	cmd.Flags().StringVar(&path, "settings", "", "the member's settings")
@@ -211,6 +217,29 @@
 	return cmd
 }
 
+// unfounded makes sure, as far as the others can be reached, that the store is not at work yet. A directory that was
+// lost and founded a second time would vote as if it had forgotten nothing.
+func (s *storeCmd) unfounded(set *settings.Store, f *founding) error {
+	conf, err := set.Node()
+	if err != nil {
+		return err
+	}
+	for _, m := range f.Members {
+		if m.Name == set.Name {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		c := client.New(client.Config{Endpoints: []string{m.Address}, TLS: conf.TLS, Pinned: true})
+		st, err := status(ctx, c)
+		c.Close()
+		cancel()
+		if err == nil && st.Commit > 1 {
+			return &client.Error{Code: frame.CodeRefused, Message: fmt.Sprintf("the store is at work: %s answers. Start this instance with its empty directory, and it joins", m.Name)}
+		}
+	}
+	return nil
+}
+
 func (s *storeCmd) certificateCmd() *cobra.Command {
 	var dir, role string
 	var life time.Duration
