Apply what the log holds as committed before the first read of a fresh instance

Change: an instance does the work that its log asks for before it hears anybody. Completion is handed to cloverrockd.

--- a/cmd/cloverrock/main.go
+++ b/cmd/cloverrock/main.go
@@ -7,6 +7,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 
 	"cloverrock/internal/app"
@@ -14,5 +15,10 @@
 )
 
 func main() {
-	os.Exit(app.Main(os.Args[1:], os.Getenv, os.Stdout, os.Stderr, handover.To("cloverrockd")))
+	larger := handover.To("cloverrockd")
+	if err := larger.Completes(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "cloverrock:", err)
+		os.Exit(app.ExitFailed)
+	}
+	os.Exit(app.Main(os.Args[1:], os.Getenv, os.Stdout, os.Stderr, larger))
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -21,6 +22,14 @@
 // To hands over to a program in the directory of this one.
 func To(name string) Program { return Program{name} }
 
+// Completes hands over where a shell asks for completions: only the larger program knows all commands.
+func (p Program) Completes(args []string) error {
+	if len(args) > 0 && (args[0] == "completion" || strings.HasPrefix(args[0], "__complete")) || len(args) > 1 && args[0] == "help" && args[1] == "store" {
+		return p.become()
+	}
+	return nil
+}
+
 // become replaces the process. It returns only if it cannot.
 func (p Program) become() error {
 	self, err := os.Executable()
--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -225,6 +225,9 @@
 	}()
 	tick := time.NewTicker(n.conf.Tick) // monotonic: a clock that is set does not reach it
 	defer tick.Stop()
+	if err := n.drive(); err != nil { // what the log has for committed is there before anybody reads
+		n.fail(err)
+	}
 	for {
 		select {
 		case <-n.stop:
--- a/internal/storecli/daemon.go
+++ b/internal/storecli/daemon.go
@@ -123,7 +123,8 @@
 
 	mu      sync.Mutex
 	running documents.Running
-	latest  []byte // the document that runs or was last tried
+	changed chan struct{} // it has something new to say
+	latest  []byte        // the document that runs or was last tried
 }
 
 // Open implements app.Extension.
@@ -148,7 +149,7 @@
 
 // startDaemon opens the store beside the gateway.
 func startDaemon(set *settings.Settings, getenv func(string) string, log zerolog.Logger) *daemon {
-	d := &daemon{set: set, getenv: getenv, log: log, opened: make(chan struct{})}
+	d := &daemon{set: set, getenv: getenv, log: log, opened: make(chan struct{}), changed: make(chan struct{}, 1)}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	if l := set.Learned; l != nil {
 		d.keeper = learned.New(learned.Config{Name: set.Store.Name, Every: l.WriteMS * 1000, Believe: l.BelieveMS * 1000})
@@ -232,6 +233,10 @@
 		r.State, r.Applied = "applied", rev.Number
 	}
 	d.latest = rev.Body
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
 }
 
 func (d *daemon) said() (documents.Running, []byte) {
@@ -322,6 +327,7 @@
 			return
 		case <-n.Ended():
 			return
+		case <-d.changed:
 		case <-time.After(wait):
 		}
 	}
