--- a/internal/store/core/core_test.go
+++ b/internal/store/core/core_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"log"
+	"math/rand/v2"
 	"testing"
 
 	"go.etcd.io/raft/v3"
@@ -165,3 +166,60 @@
 		t.Errorf("age %d", age)
 	}
 }
+
+// A snapshot goes in pieces within its rate, and comes whole although pieces and words of their coming are lost.
+func TestSnapshotKeepsItsRateAndBearsLoss(t *testing.T) {
+	n := newNet(t, 1, 1, 1)
+	c, behind := n.lead(1), n.cores[3]
+	delete(n.cores, 3)
+	n.order = []uint64{1, 2}
+	for i := range 300 {
+		c.Propose(uint64(i), &machine.Command{Kind: machine.TxnKind, Then: []machine.Op{{Kind: machine.Put, NS: "n", Key: string(rune('a' + i%20)), Value: make([]byte, 2000)}}})
+		n.settle()
+	}
+	c.conf.Keep, c.conf.Rate, c.conf.Piece = 10, 8<<10, 1<<10
+	s := c.Due(true)
+	encoded, err := Encode(s)
+	if err != nil || c.Saved(s, nil) == 0 {
+		t.Fatalf("the log is not released: %v", err)
+	}
+	n.cores[3], n.order = behind, []uint64{1, 2, 3}
+	rng := rand.New(rand.NewPCG(2, 2))
+	for tick := 0; behind.Machine().Index() < s.Meta.GetIndex(); tick++ {
+		if tick > 500 {
+			t.Fatalf("it does not come: %+v", c.Status())
+		}
+		sent := 0
+		c.Tick()
+		behind.Tick()
+		for more := true; more; {
+			more = false
+			for _, id := range n.order {
+				if n.cores[id].WantsSnapshot() {
+					n.cores[id].Held(encoded, nil)
+				}
+				for w := n.cores[id].Next(); w != nil; w = n.cores[id].Next() {
+					more = true
+					if err := n.cores[id].Done(w); err != nil {
+						t.Fatal(err)
+					}
+					for _, e := range append(w.Early, w.Late...) {
+						if e.Piece != nil {
+							sent += len(e.Piece.Data)
+						}
+						if (e.Piece != nil || e.Got != nil) && rng.IntN(7) == 0 { // lost
+							continue
+						}
+						n.cores[e.To].Step(e)
+					}
+				}
+			}
+		}
+		if sent > c.conf.Rate+c.conf.Piece {
+			t.Fatalf("%d bytes in a tick; %d are allowed", sent, c.conf.Rate)
+		}
+	}
+	if behind.Machine().Keys() != c.Machine().Keys() {
+		t.Errorf("%d keys, %d at the leader", behind.Machine().Keys(), c.Machine().Keys())
+	}
+}
--- a/internal/store/core/transfer.go
+++ b/internal/store/core/transfer.go
@@ -13,6 +13,7 @@
 
 const (
 	window       = 16  // pieces that may be under way
+	lostAfter    = 3   // words without progress after which pieces are sent again at once
 	resendAfter  = 10  // ticks without word after which pieces are sent again
 	abandonAfter = 100 // ticks without word after which a transfer is given up
 	// MaxSnapshot bounds what a sender may claim of a snapshot's size.
@@ -40,6 +41,7 @@
 	index       uint64
 	data        []byte // encoded; nil until it was read
 	sent, acked int
+	same        int // words in a row that nothing more has come
 	heard       int64
 }
 
@@ -152,8 +154,11 @@
 		return
 	}
 	t.heard = c.now
-	if g.Offset < t.acked { // the receiver has begun anew
-		t.sent = g.Offset
+	if t.same++; g.Offset != t.acked {
+		t.same = 0
+	}
+	if g.Offset < t.acked || t.same >= lostAfter { // the receiver has begun anew, or a piece was lost on its way
+		t.sent, t.same = g.Offset, 0
 	}
 	t.acked = g.Offset
 	t.sent = max(t.sent, t.acked)
--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -373,6 +373,11 @@
 			next := *v
 			next.Leader = leader
 			n.view.Store(&next)
+			if leader == 0 {
+				n.log.Warn().Msg("store: no leader is known: this instance tells what it has, and agrees to nothing")
+			} else {
+				n.log.Info().Str("leader", v.Members[leader].Name).Msg("store: a leader is known")
+			}
 		}
 		return
 	}
