--- a/internal/lab/chaos/chaos.go
+++ b/internal/lab/chaos/chaos.go
@@ -129,12 +129,18 @@
 	stop()
 	wg.Wait()
 	r.judge(ctx)
+	r.res.UnaskedEnds = r.ended()
+	return &r.res, ctx.Err()
+}
+
+// ended counts the processes that ended by themselves.
+func (r *run) ended() (n int) {
 	for _, p := range r.c.all {
 		p.mu.Lock()
-		r.res.UnaskedEnds += p.unasked
+		n += p.unasked
 		p.mu.Unlock()
 	}
-	return &r.res, ctx.Err()
+	return n
 }
 
 // Good tells whether nothing was found that must not be.
@@ -164,7 +170,7 @@
 	}
 	// Each kind comes once before chance picks, so that a short rehearsal has them all.
 	order := rng.Perm(5)
-	for n := 0; time.Since(r.began) < r.For; n++ {
+	for n := 0; n < len(order) || time.Since(r.began) < r.For; n++ {
 		kind := rng.IntN(5)
 		if n < len(order) {
 			kind = order[n]
@@ -386,6 +392,9 @@
 			r.res.Converged = true
 			break
 		}
+		if r.ended() > 0 { // it will not come back by itself
+			break
+		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	if !r.res.Converged {
--- a/internal/lab/chaos/chaos_test.go
+++ b/internal/lab/chaos/chaos_test.go
@@ -17,12 +17,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Minute)
 	defer cancel()
-	o := Options{Instances: 3, For: 9 * time.Second, Seed: 3, Program: filepath.Join(dir, "cloverrock"), Log: t.Logf}
+	o := Options{Instances: 3, For: 6 * time.Second, Seed: 3, Program: filepath.Join(dir, "cloverrock"), Log: t.Logf}
 	res, err := Run(ctx, o)
 	if err != nil || !res.Good() {
 		t.Errorf("%+v, %v", res, err)
 	}
-	o.LoseSyncs, o.For = true, 6*time.Second
+	o.LoseSyncs, o.For = true, time.Second
 	if res, err = Run(ctx, o); err != nil || res.Good() {
 		t.Errorf("lost syncs went unseen: %+v, %v", res, err)
 	}
--- a/internal/learned/learned.go
+++ b/internal/learned/learned.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -300,12 +301,7 @@
 		b.List = &l
 	}
 	young := func(at int64) bool { return at <= now+ahead && now-at <= k.conf.Believe }
-	groups := make([]int64, 0, len(k.groups))
-	for id := range k.groups {
-		groups = append(groups, id)
-	}
-	slices.Sort(groups)
-	for _, id := range groups {
+	for _, id := range slices.Sorted(maps.Keys(k.groups)) {
 		p := k.groups[id]
 		if young(p.At) {
 			b.Facts.Groups = append(b.Facts.Groups, balance.GroupFacts{Group: id, Primary: p.Host, At: min(p.At, now)})
@@ -313,12 +309,7 @@
 			b.Doubt = append(b.Doubt, fmt.Sprintf("group %d: primary %s is %d s old", id, p.Host, (now-p.At)/1e6))
 		}
 	}
-	ids := make([]string, 0, len(k.hosts))
-	for id := range k.hosts {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
+	for _, id := range slices.Sorted(maps.Keys(k.hosts)) {
 		h := k.hosts[id]
 		f := balance.HostFacts{Host: id, Group: h.Group, Position: h.Position, PositionAt: min(h.PositionAt, now)}
 		if h.Position > now+ahead || h.Primary && k.groups[h.Group].Host != id {
--- a/internal/store/core/core.go
+++ b/internal/store/core/core.go
@@ -304,14 +304,21 @@
 		c.answer(token, ErrBusy, machine.Result{})
 		return
 	}
+	if b := c.enter(token, cmd); b != nil {
+		c.queue = append(c.queue, &raftpb.Entry{Data: b})
+	}
+}
+
+// enter encodes a command and waits for its result; nil if it cannot be encoded, which is answered.
+func (c *Core) enter(token uint64, cmd *machine.Command) []byte {
 	cmd.Request = c.mark()
 	b, err := machine.Encode(cmd)
 	if err != nil {
 		c.answer(token, err, machine.Result{})
-		return
+		return nil
 	}
 	c.pending[cmd.Request] = wait{token, c.serial, c.now + int64(c.conf.Patience)}
-	c.queue = append(c.queue, &raftpb.Entry{Data: b})
+	return b
 }
 
 // Read answers the token when the state here holds all that was answered anywhere before the call.
@@ -329,14 +336,9 @@
 		c.answer(token, ErrNoLeader, machine.Result{})
 		return
 	}
-	cmd.Request = c.mark()
-	b, err := machine.Encode(cmd)
-	if err != nil {
-		c.answer(token, err, machine.Result{})
+	if change.Context = c.enter(token, cmd); change.Context == nil {
 		return
 	}
-	change.Context = b
-	c.pending[cmd.Request] = wait{token, c.serial, c.now + int64(c.conf.Patience)}
 	if err := c.raw.ProposeConfChange(change); err != nil {
 		delete(c.pending, cmd.Request)
 		c.answer(token, ErrNoLeader, machine.Result{})
