Lab: measure what the store costs the requests of the gateway beside it; test restore

Need: the store promises that no request waits for it; that was not measured. Restore was tried by hand only.

--- a/cmd/cloverrock-lab/restart.go
+++ b/cmd/cloverrock-lab/restart.go
@@ -51,3 +51,34 @@
 	f.StringVar(&path, "json", "-", "where the result goes; - is standard output")
 	return cmd
 }
+
+func besideGateway() *cobra.Command {
+	var o restart.Options
+	var path string
+	var rounds int
+	var each time.Duration
+	cmd := &cobra.Command{Use: "beside", Short: "Measure what the store costs the requests of the gateway that it runs beside", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+			defer cancel()
+			if o.Program == "" {
+				var err error
+				if o.Program, err = chaos.Beside(); err != nil {
+					return err
+				}
+			}
+			res, err := restart.RunBeside(ctx, o, rounds, each)
+			if err != nil {
+				return err
+			}
+			return report(path, cmd.OutOrStdout(), res)
+		}}
+	f := cmd.Flags()
+	f.Uint64Var(&o.Seed, "seed", 1, "decides the load")
+	f.Float64Var(&o.Rate, "rate", 300, "requests a second")
+	f.IntVar(&rounds, "rounds", 3, "rounds of each way, in turn")
+	f.DurationVar(&each, "for", 5*time.Second, "how long each lasts")
+	f.StringVar(&o.Program, "program", "", "the gateway's program; beside this one if not given")
+	f.StringVar(&path, "json", "-", "where the result goes; - is standard output")
+	return cmd
+}
--- a/internal/lab/restart/restart.go
+++ b/internal/lab/restart/restart.go
@@ -92,6 +92,17 @@
 	return cmd, nil
 }
 
+// end ends all that was started.
+func (s *stage) end() {
+	for _, cmd := range s.running {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	}
+	for _, h := range s.hosts {
+		h.Close()
+	}
+}
+
 func (s *stage) gateway() (*exec.Cmd, error) {
 	args := []string{"serve"}
 	if s.store {
@@ -131,15 +142,7 @@
 	}
 	defer os.RemoveAll(dir)
 	s := &stage{Options: o, dir: dir, store: store}
-	defer func() {
-		for _, cmd := range s.running {
-			_ = cmd.Process.Kill()
-			_ = cmd.Wait()
-		}
-		for _, h := range s.hosts {
-			h.Close()
-		}
-	}()
+	defer s.end()
 	discovery, err := standin.NewDiscovery()
 	if err != nil {
 		return nil, err
--- a/internal/storecli/daemon_test.go
+++ b/internal/storecli/daemon_test.go
@@ -264,3 +264,55 @@
 		t.Errorf("%s", out)
 	}
 }
+
+// After the loss of a majority a backup becomes a new store of one: the documents are there, the cluster is another,
+// and the old members are no longer any.
+func TestRestoreFoundsAnotherStore(t *testing.T) {
+	r := newRig(t)
+	g := newGateway()
+	d := r.start(g)
+	r.put(`{"discovery":"127.0.0.1:7"}`, 0)
+	next(t, g.reloads)
+	backup, settingsFile := filepath.Join(r.dir, "bak"), filepath.Join(r.dir, "store", "a.json")
+	r.run(0, "store backup --file "+backup)
+	before := r.run(0, "store status --output json")
+	d.Close()
+	out := r.run(app.ExitFailed, "store restore --settings "+settingsFile+" --file "+backup) // its directory is not empty
+	if !strings.Contains(out, "belongs to instance a already") {
+		t.Errorf("%s", out)
+	}
+	if err := os.Rename(filepath.Join(r.dir, "store", "a-data"), filepath.Join(r.dir, "lost")); err != nil {
+		t.Fatal(err)
+	}
+	r.run(0, "store restore --settings "+settingsFile+" --file "+backup)
+	d = r.start(newGateway())
+	defer d.Close()
+	var was, is struct {
+		Instance struct {
+			Cluster, Name string
+			Members       map[string]any
+		}
+	}
+	_ = json.Unmarshal([]byte(before), &was)
+	if err := json.Unmarshal([]byte(r.run(0, "store status --output json")), &is); err != nil {
+		t.Fatal(err)
+	}
+	if is.Instance.Cluster == was.Instance.Cluster || is.Instance.Cluster == "" || len(is.Instance.Members) != 1 {
+		t.Errorf("%+v, and before %+v", is, was)
+	}
+	if out := r.run(0, "store get gateway --output json"); !strings.Contains(out, "127.0.0.1:7") || !strings.Contains(out, `"revision":1`) {
+		t.Errorf("%s", out)
+	}
+	r.run(0, "store history gateway")
+	spoilt, err := os.ReadFile(backup)
+	if err != nil {
+		t.Fatal(err)
+	}
+	spoilt[len(spoilt)/2] ^= 1
+	if err := os.WriteFile(backup, spoilt, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out := r.run(app.ExitDamaged, "store verify --file "+backup); !strings.Contains(out, "offset") {
+		t.Errorf("%s", out)
+	}
+}
