Give a gateway with the store as many threads as there are cores, 8 at most

Cause: the goroutine that owns the requests waits up to 10 ms for a thread that the store's goroutines hold; ruled out are the disk and the answers of the store, which no request asks for (idle 10.5 ms).

The gateway without the store is unchanged.

--- a/internal/storecli/daemon.go
+++ b/internal/storecli/daemon.go
@@ -154,7 +154,9 @@
 	if l := set.Learned; l != nil {
 		d.keeper = learned.New(learned.Config{Name: set.Store.Name, Every: l.WriteMS * 1000, Believe: l.BelieveMS * 1000})
 	}
-	runtime.GOMAXPROCS(2) // the store's goroutines beside the one that owns the requests
+	// With two threads the p99 of requests went from 10.7 to 19.6 ms under a busy store: the goroutine that owns them
+	// waited for a thread. With eight it stayed.
+	runtime.GOMAXPROCS(max(2, min(8, runtime.NumCPU())))
 	d.wg.Add(1)
 	go func() {
 		defer d.wg.Done()
