Rehearsals listen at loopback addresses that no connection takes

Need: store-chaos failed twice in a row after a stress of other tests: 'bind: address already in use'. Cause, from the instances' logs: a port of 127.0.0.1 that was free when it was chosen had become the source of a connection, or another listener's. Ruled out: the store, which was never reached.

Change: instances listen at addresses of 127.0.0.0/8 other than 127.0.0.1, from which no connection comes; tests too.

Result: the tests of node and storecli pass; the rehearsal is to be repeated under the same stress.

--- a/internal/lab/chaos/cluster.go
+++ b/internal/lab/chaos/cluster.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"cloverrock/internal/lab/loopback"
 	"cloverrock/internal/lab/relay"
 	"cloverrock/internal/settings"
 	"cloverrock/internal/store/client"
@@ -41,30 +41,10 @@
 	log                           *os.File
 }
 
-// freePorts reserves so many addresses for a moment.
-func freePorts(n int) ([]string, error) {
-	var all []string
-	var held []net.Listener
-	defer func() {
-		for _, ln := range held {
-			ln.Close()
-		}
-	}()
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		held = append(held, ln)
-		all = append(all, ln.Addr().String())
-	}
-	return all, nil
-}
-
 // found prepares so many instances in a directory.
 func found(dir, program string, instances int, lost bool) (*cluster, error) {
 	c := &cluster{dir: dir, program: program, lost: lost, lines: map[[2]int]*relay.Relay{}}
-	addresses, err := freePorts(instances)
+	addresses, err := loopback.Reserve(instances)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/restart/restart.go
+++ b/internal/lab/restart/restart.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"cloverrock/internal/lab/loopback"
 	"cloverrock/internal/lab/standin"
 	"cloverrock/internal/settings"
 )
@@ -284,12 +285,11 @@
 
 // configure writes the gateway's configuration, with a list that names s-0 as the primary.
 func (s *stage) configure(discovery string) error {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	free, err := loopback.Reserve(1)
 	if err != nil {
 		return err
 	}
-	s.listen = ln.Addr().String()
-	ln.Close()
+	s.listen = free[0]
 	type m = map[string]any
 	var classes []m
 	for _, c := range standin.Classes {
@@ -318,13 +318,12 @@
 func (s *stage) found() error {
 	args := []string{"store", "init", "--dir", s.dir, "--local"}
 	names := []string{"a", "b", "c"}
-	for _, n := range names {
-		ln, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		args = append(args, "--member", n+"="+ln.Addr().String())
-		ln.Close()
+	free, err := loopback.Reserve(len(names))
+	if err != nil {
+		return err
+	}
+	for i, n := range names {
+		args = append(args, "--member", n+"="+free[i])
 	}
 	if out, err := exec.Command(s.Program, args...).CombinedOutput(); err != nil {
 		return fmt.Errorf("store init: %w: %s", err, out)
--- a/internal/store/node/node_test.go
+++ b/internal/store/node/node_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"cloverrock/internal/lab/loopback"
 	"cloverrock/internal/store/client"
 	"cloverrock/internal/store/core"
 	"cloverrock/internal/store/disk"
@@ -78,10 +79,9 @@
 	i := len(r.confs)
 	name := fmt.Sprint("n", i)
 	r.ok(pki.Issue(r.dir, name, pki.Instance, time.Now(), time.Hour))
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := loopback.Reserve(1)
 	r.ok(err)
-	defer ln.Close()
-	conf := Config{Name: name, Data: filepath.Join(r.dir, name+"-data"), Listen: ln.Addr().String(), TLS: r.tls(name), Tick: 10 * time.Millisecond,
+	conf := Config{Name: name, Data: filepath.Join(r.dir, name+"-data"), Listen: free[0], TLS: r.tls(name), Tick: 10 * time.Millisecond,
 		Log: zerolog.New(zerolog.NewTestWriter(r.t)).Level(zerolog.ErrorLevel)}
 	for _, f := range change {
 		f(&conf)
--- a/internal/storecli/daemon_test.go
+++ b/internal/storecli/daemon_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -19,6 +18,7 @@
 	"cloverrock/internal/app"
 	"cloverrock/internal/config"
 	"cloverrock/internal/discovery"
+	"cloverrock/internal/lab/loopback"
 	"cloverrock/internal/learned"
 	"cloverrock/internal/settings"
 	"cloverrock/internal/store/documents"
@@ -75,12 +75,10 @@
 func newRig(t *testing.T) *rig {
 	t.Helper()
 	r := &rig{t: t, dir: t.TempDir()}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := loopback.Reserve(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := ln.Addr().String()
-	ln.Close()
 	conf := filepath.Join(r.dir, "config.json")
 	if err := os.WriteFile(conf, []byte(`{"name":"a","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"tickMs":5,
 		"classes":[{"name":"x","aimMs":1,"deadlineMs":1}],"limits":{"maxAttempts":1}}}`), 0o600); err != nil {
@@ -89,7 +87,7 @@
 	r.getenv = func(k string) string {
 		return map[string]string{"EDGE_CONFIG": conf, "EDGE_DISCOVERY": "127.0.0.1:3"}[k]
 	}
-	r.run(0, "store init --dir "+filepath.Join(r.dir, "store")+" --local --member a="+address)
+	r.run(0, "store init --dir "+filepath.Join(r.dir, "store")+" --local --member a="+free[0])
 	return r
 }
 
