Lines of a rehearsal listen at addresses of their own, too

Need: with 34 000 sockets waiting on 127.0.0.1 the relays found no port either.

Change: a relay listens where the instances do: at an address of 127.0.0.0/8 that no connection comes from.

--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -5,6 +5,8 @@
 import (
 	"net"
 	"sync"
+
+	"cloverrock/internal/lab/loopback"
 )
 
 // Relay listens on a loopback address and passes on to another.
@@ -21,7 +23,11 @@
 
 // New returns a relay to an address.
 func New(to string) (*Relay, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := loopback.Reserve(1)
+	if err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp4", free[0])
 	if err != nil {
 		return nil, err
 	}
