--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -157,6 +157,14 @@
 		SnapshotRate: s.SnapshotRate, Validate: Document}, nil
 }
 
+// Address is where others reach the instance.
+func (s *Store) Address() string {
+	if s.Advertise != "" {
+		return s.Advertise
+	}
+	return s.Listen
+}
+
 // StartWait is how long a gateway's start may wait for the local copy.
 func (s *Store) StartWait() time.Duration {
 	if s.StartWaitMS == nil {
--- a/internal/storecli/admin.go
+++ b/internal/storecli/admin.go
@@ -368,11 +368,7 @@
 	if err != nil {
 		return id, 0, nil, err
 	}
-	address := set.Advertise
-	if address == "" {
-		address = set.Listen
-	}
-	op, err := core.MemberOp(id.Node, core.Member{Name: set.Name, Address: address, Format: machine.Format})
+	op, err := core.MemberOp(id.Node, core.Member{Name: set.Name, Address: set.Address(), Format: machine.Format})
 	if err != nil {
 		return id, 0, nil, err
 	}
--- a/internal/storecli/daemon.go
+++ b/internal/storecli/daemon.go
@@ -80,10 +80,6 @@
 	if err != nil {
 		return 0, err
 	}
-	address := set.Advertise
-	if address == "" {
-		address = set.Listen
-	}
 	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
 	var cluster uint64
@@ -100,7 +96,7 @@
 	}
 	c := client.New(client.Config{Endpoints: set.Join, TLS: conf.TLS})
 	defer c.Close()
-	if _, err := c.Call(ctx, &frame.Request{Op: frame.OpJoin, Node: id, Address: address, Token: token}, false); err != nil {
+	if _, err := c.Call(ctx, &frame.Request{Op: frame.OpJoin, Node: id, Address: set.Address(), Token: token}, false); err != nil {
 		return 0, err
 	}
 	return id, create(set.Data, disk.Identity{Cluster: cluster, Node: id, Name: set.Name}, 0, nil)
