Bind a socket before it connects, so that platforms can name it

Ruled out: the engine (its own sockets work), the order alone (a net.FileConn made before the connect fails in the same way there). At fault: connect in internal/loop/conn.go made the net.FileConn of a socket that has no name until its connect is over, on a platform that names none before.

Change: the socket is bound to no address and port 0 with IP_BIND_ADDRESS_NO_PORT, so that the kernel still chooses the port when it connects, and the library's connection is made before the connect.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -38,6 +38,31 @@
 	return c
 }
 
+// bindNoPort leaves the choice of the port to the connect, which has many more to choose from
+// (IP_BIND_ADDRESS_NO_PORT).
+const bindNoPort = 24
+
+// newSocket makes a TCP socket that has a name before it connects, and the standard library's connection on it. The
+// library asks a socket for its name to know its family, and not every platform tells that of one that is still
+// connecting: it says "address family not supported" there, and no dial succeeds.
+func newSocket() (fd int, file *os.File, std net.Conn, err error) {
+	fd, err = syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return -1, nil, nil, fmt.Errorf("socket: %w", err)
+	}
+	file = os.NewFile(uintptr(fd), "socket")
+	_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
+	_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_IP, bindNoPort, 1)
+	if err = syscall.Bind(fd, &syscall.SockaddrInet4{}); err == nil {
+		std, err = net.FileConn(file)
+	}
+	if err != nil {
+		_ = file.Close()
+		return -1, nil, nil, fmt.Errorf("name the socket: %w", err)
+	}
+	return fd, file, std, nil
+}
+
 func (l *Loop) connect(c *Conn, address string) error {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
@@ -46,19 +71,14 @@
 	if !to.Addr().Unmap().Is4() {
 		return errors.New("not an IPv4 address")
 	}
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
+	fd, file, std, err := newSocket()
 	if err != nil {
 		return err
 	}
-	file := os.NewFile(uintptr(fd), address)
 	defer file.Close()
-	_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
 	err = syscall.Connect(fd, &syscall.SockaddrInet4{Port: int(to.Port()), Addr: to.Addr().Unmap().As4()})
 	if err != nil && !errors.Is(err, syscall.EINPROGRESS) {
-		return err
-	}
-	std, err := net.FileConn(file)
-	if err != nil {
+		_ = std.Close()
 		return err
 	}
 	nb, err := nbio.NBConn(std)
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -1,9 +1,11 @@
 package loop
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -226,3 +228,23 @@
 		t.Errorf("heard %q", got)
 	}
 }
+
+// Where a platform names no socket that is still connecting, the library's connection must exist before the connect
+// begins, on a socket that is bound.
+func TestSocketHasANameBeforeItConnects(t *testing.T) {
+	fd, file, std, err := newSocket()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	defer std.Close()
+	if _, err := syscall.Getpeername(fd); !errors.Is(err, syscall.ENOTCONN) {
+		t.Errorf("connected already: %v", err)
+	}
+	if bound, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_IP, bindNoPort); err != nil || bound != 1 {
+		t.Errorf("not bound, or to a port that is chosen too early: %d, %v", bound, err)
+	}
+	if _, ok := std.(*net.TCPConn); !ok {
+		t.Errorf("a %T", std)
+	}
+}
