Gateways that start together ask discovery apart, and longer apart after failures

At fault: the times in internal/discovery/watch.go, 50 ms to 1 s after a failure and the same for all: calls come faster than discovery works them off, wait until they fail, and are worked on all the same.

Change: Retry decides when to ask, without I/O or clock: where the list is asked for, the first call of a gateway that has one comes at a random time in what all need, and the wait after failures has jitter and grows to twice that. Alone, or with an agent of its own, a gateway asks as before. The number of gateways is read from the settings, else from the peers; a contradiction is an error that names settings.balancers.

--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -78,11 +78,12 @@
 	s.pool = backend.New(s.loop, s.gateway, backend.Limits{
 		DialTimeout: conf.Settings.DialTimeout, IdleClose: conf.IdleClose, Connections: free - clients, Bytes: conf.MemoryMB << 20 / 8,
 	}, log.Sample(&zerolog.BurstSampler{Burst: 20, Period: time.Second})) // a host that only fails fills no log
-	generation := int64(0)
-	if conf.Known != nil {
+	generation, known := int64(0), conf.Known != nil
+	if known {
 		generation = conf.Known.Generation
 	}
-	s.watch = discovery.New(s.loop, conf.Discovery, conf.Names, generation, s.listed, s.gateway.ListFailed, log)
+	retry := discovery.NewRetry(conf.Gateways, conf.Settings.Subscribe, conf.Seed)
+	s.watch = discovery.New(s.loop, conf.Discovery, conf.Names, generation, known, retry, s.listed, s.gateway.ListFailed, log)
 	peers := &peer.Peers{}
 	s.gateway.Connect(s.pool, s.watch, peers)
 	if err := s.loop.Start(conf.Listen, s.frontend.Accept); err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -30,6 +30,7 @@
 	Classes                 map[string]frontend.Class
 	LongestDeadline         int64
 	IdleClose               int64
+	Gateways                int // of the tier, this one included
 	Settings                balance.Settings
 }
 
@@ -294,7 +295,22 @@
 	if o.Limits.IdleCloseMs < 0 {
 		return fault("settings.limits.idleCloseMs", "must be above 0")
 	}
+	// Without the number, the list of peers tells it; one that is alone has neither. Numbers that contradict each other
+	// would have a gateway speak to fewer than it pays for, or wait for more than there are.
+	if c.Gateways = o.Balancers; o.Balancers == 0 {
+		c.Gateways = max(len(c.Peer.Peers), 1)
+		o.Balancers = c.Gateways
+	}
+	if o.Balancers < 0 {
+		return fault("settings.balancers", "must not be below 0")
+	}
+	if n := len(c.Peer.Peers); n > 0 && n != o.Balancers {
+		return fault("settings.balancers", "is %d, but peers names %d", o.Balancers, n)
+	}
 	s, _ := o.Settings()
+	if c.Peer.Listen == "" || !c.Peer.All.IsValid() { // nobody would hear it
+		s.Gateways, s.TellEarn = 0, 0
+	}
 	c.Settings = s
 	c.Names = discovery.Names{Zones: o.Zones, Kinds: o.HostTypes}
 	c.IdleClose = int64(o.Limits.IdleCloseMs * 1000)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -91,3 +92,20 @@
 		t.Errorf("fixed: %s", got)
 	}
 }
+
+// The number of gateways may be left out, but not contradict the list of peers.
+func TestNumberOfGateways(t *testing.T) {
+	const conf = `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","peer_listen":"127.0.0.1:3","peers_all":"127.0.0.1:4",
+		"peers":["127.0.0.1:3","127.0.0.1:5"],"settings":{%s"limits":{"maxAttempts":3,"mayTell":true},"tickMs":1,"classes":[{"name":"a","aimMs":1,"deadlineMs":2}]}}`
+	none := func(string) string { return "" }
+	for text, want := range map[string]int{"": 2, `"balancers":2,`: 2, `"balancers":0,`: 2, `"balancers":80,`: 0, `"balancers":-1,`: 0} {
+		c, err := Parse([]byte(fmt.Sprintf(conf, text)), none)
+		if want == 0 {
+			if err == nil || !strings.Contains(err.Error(), "settings.balancers") {
+				t.Errorf("%q: %v", text, err)
+			}
+		} else if err != nil || c.Gateways != want || c.Settings.Gateways != want {
+			t.Errorf("%q: %v, %+v", text, err, c)
+		}
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -9,12 +9,8 @@
 	"cloverrock/internal/loop"
 )
 
-const (
-	// An empty line comes every 2 s while nothing changes; after twice that and some, nobody is there.
-	silence  = 5e6
-	minRetry = 5e4
-	maxRetry = 1e6
-)
+// silence is when nobody is there: an empty line comes every 2 s while nothing changes, and this is twice that and some.
+const silence = 5e6
 
 // Watch follows the list over one connection at a time, and connects again when that ends. The last list holds
 // until a new one comes. It belongs to the loop's goroutine.
@@ -27,25 +23,39 @@
 	failed  func()
 
 	generation int64
-	retry      int64
+	known      bool
+	retry      *Retry
+	begun      bool
 	current    *stream
 	quiet      *loop.Timer
 }
 
-// New returns a watch that goes on from a list's generation.
-func New(l *loop.Loop, address string, names Names, generation int64, told func(List), failed func(), log zerolog.Logger) *Watch {
-	return &Watch{loop: l, address: address, names: names, generation: generation, told: told, failed: failed,
-		retry: minRetry, log: log}
+// New returns a watch that goes on from a list's generation; known tells that there is such a list.
+func New(l *loop.Loop, address string, names Names, generation int64, known bool, retry *Retry, told func(List), failed func(), log zerolog.Logger) *Watch {
+	return &Watch{loop: l, address: address, names: names, generation: generation, known: known,
+		told: told, failed: failed, retry: retry, log: log}
 }
 
 // Generation is the version of the list that was told last.
 func (w *Watch) Generation() int64 { return w.generation }
 
-// Subscribe starts to follow, if that has not begun.
+// Subscribe starts to follow, if that has not begun: in a while, where many may start at once and there is a list to go
+// on with.
 func (w *Watch) Subscribe() {
-	if w.current == nil {
+	if w.begun {
+		return
+	}
+	w.begun = true
+	wait := w.retry.First(w.known)
+	if wait == 0 {
 		w.connect()
+		return
 	}
+	w.loop.At(w.loop.Now()+wait, func() {
+		if w.current == nil {
+			w.connect()
+		}
+	})
 }
 
 // Fetch asks for the whole list anew.
@@ -64,7 +74,8 @@
 		return
 	}
 	w.log.Info().Str("from", w.address).Str("to", address).Msg("discovery: moving")
-	w.address, w.retry = address, minRetry
+	w.address = address
+	w.retry.Told()
 	if w.current != nil {
 		w.current.net.Close()
 		w.connect()
@@ -114,7 +125,8 @@
 	if err != nil {
 		return err
 	}
-	w.generation, w.retry = l.Generation, minRetry
+	w.generation = l.Generation
+	w.retry.Told()
 	w.told(l)
 	return nil
 }
@@ -132,10 +144,9 @@
 	w.quiet.Stop()
 	w.log.Warn().Err(err).Msg("discovery: watch ended, connecting again")
 	w.failed()
-	w.loop.At(w.loop.Now()+w.retry, func() {
+	w.loop.At(w.loop.Now()+w.retry.Failed(), func() {
 		if w.current == s {
 			w.connect()
 		}
 	})
-	w.retry = min(2*w.retry, maxRetry)
 }
