Spare busy hosts by what their answers take, told by all, and send refused reads back later

At fault: room() in balance.go bounds each gateway's own attempts, one at the least, which is 80 at a host; refused reads came back at once and drew again.

Change: a share of their aim that answers take, errors and time-outs among them, is told to all, also before the answer comes. Of reads, a part is kept from a host that grows with it; the refusal says to come back as late as the settings allow. A read that a session's write needs goes to the primary, no probe first. What others hear of a host counts as its sign of life. Hosts with an open connection are drawn first. The cold budget follows requests, which a fresh gateway knows after a second, not attempts at warm hosts.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"errors"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -23,13 +24,16 @@
 	backoffLimit = 32   // a dead host is probed ever less often, up to so many times the pace
 	firstLimit   = 4.0  // in-flight attempts granted to a host of which nothing is known
 	lowShare     = 0.28 // a host whose answers take less of their aim than this may be given more at once
+	openWeight   = 16.0 // how much more often a host is drawn that we have a connection to
+	spareShare   = 0.2  // above this a part of reads is kept from a host, all of them at 1
 	highShare    = 0.4  // above this it is given less; between the two its limit rests
 	cut          = 0.8  // what a cut leaves of the limit: several routers cut at once, so gently
 	maxMisfits   = 8    // reads that find no host before the others of a group are left for later
 	smooth       = 0.1  // weight of a new answer in means: some ten answers decide
+	smoothShare  = 0.15 // the same for what answers take of their aim: queues grow within a few
 	keepIdle     = 30e6 // idle connections are closed after this, or sooner where hosts' tables are full
 	keepGrow     = 20   // part by which that time grows again a second
-	rateKeep     = 0.9  // of the rate of attempts at warm hosts is kept a second: ten seconds even out chance
+	rateKeep     = 0.9  // of the rate of requests is kept a second: ten seconds even out chance
 	retryEarn    = 0.1  // repeats of what may have run, for each first attempt: they cannot feed an overload
 	retryBurst   = 20.0 // what a calm time saves up for a crash
 	probeEarn    = 2.0  // probes for positions and of dead hosts, for each first attempt
@@ -73,6 +77,7 @@
 	probing, again   bool // again: a probe that broke off was asked once more
 	probedAt         int64
 	retryAt, backoff int64
+	findAt, fellAt   int64 // no search asks it before; when it was last found not to serve
 	role             Role
 	roleAt           int64 // as of when the role is known
 	been             bool  // seen as primary, and no answer has since denied it
@@ -102,14 +107,17 @@
 	kind, late, ranZone  int
 	class                *Class
 	group                *group
-	aimAt, until, halfAt int64 // halfAt: half of its time has passed
-	need                 int64 // OwnWrite: position that shows the session's writes
+	aimAt, until, halfAt int64   // halfAt: half of its time has passed
+	luck                 float64 // 0 to 1: of two reads the one with less is sent on
+	need                 int64   // OwnWrite: position that shows the session's writes
 	attempts, try        int
 	at, last             *host // where its attempt is out; where it failed last
 	sentAt, askUntil     int64 // when it was sent; until when it waits for a position asked for
 	ranAt                int64 // sending of the first attempt that may have run; 0 if none
 	hasKey, done, dials  bool  // dials: its attempt needed a new connection
 	met                  bool  // a host has had it
+	spared               bool  // a host was spared it
+	judged               int   // halves of its aim that its attempt was seen to take before its end
 }
 
 // Router decides for one router. It is not safe for concurrent use.
@@ -126,7 +134,7 @@
 	acts    []Action
 
 	keep            int64   // how long idle connections are kept
-	sends, perHost  float64 // attempts at warm hosts in this second, and a second and host of late
+	asked, perHost  float64 // requests in this second, and for each host and second of late
 	ratedAt         int64
 	retries, probes float64 // budgets
 	probeRTT        float64 // mean time of a probe
@@ -201,6 +209,15 @@
 func (r *Router) pace() int64   { return findEvery * r.period() }
 func (r *Router) log(s string)  { r.act(Action{Kind: LogAction, Text: s}) }
 
+// apart is a random time about as long as a router alone would wait. Many who wait for the same do so for
+// longer: the first to see it tells the others, and no two ask in step.
+func (r *Router) apart(wait int64) int64 {
+	if r.set.Gateways < 2 {
+		return wait
+	}
+	return int64((0.5 + float64(r.random(1e6))/1e6) * math.Sqrt(float64(r.set.Gateways)) * float64(wait))
+}
+
 // random returns a number below n, or 0 (splitmix64).
 func (r *Router) random(n int) int {
 	r.rand += 0x9e3779b97f4a7c15
@@ -330,7 +347,7 @@
 		return false
 	}
 	if ramp := r.ramp(h); h.cold {
-		// Our mean rate at warm hosts is our part of what one can do; chance keeps half the multiple.
+		// Our part of what all requests ask of a host; chance keeps half the multiple.
 		rate := r.perHost * ramp * r.set.FallMultiple / 2
 		most := max(1, rate*float64(r.set.FallFor)/4e6)
 		h.credit = min(most, h.credit+rate*float64(r.now-h.earned)/1e6)
@@ -369,11 +386,11 @@
 func (r *Router) fell(h *host, died bool) {
 	h.died, h.again = h.died || died, false
 	h.backoff = min(max(2*h.backoff, r.pace()), backoffLimit*r.pace())
-	h.retryAt = r.now + h.backoff
+	h.retryAt = r.now + r.apart(h.backoff)
 	if h.cond != down {
 		r.log("host " + h.id + " is down")
 	}
-	h.cond = down
+	h.cond, h.fellAt = down, r.now
 	if h.group.primary == h {
 		r.lose(h.group, "does not answer")
 	}
@@ -382,7 +399,15 @@
 // suspect looks for silence: attempts out and no answer for clearly longer than the host's answers take, the
 // sooner the more are out. A probe decides, so slow hosts are not taken for dead ones.
 func (r *Router) suspect(h *host) {
-	patience := max(h.lat, (h.lat+4*h.dev)/float64(max(min(len(h.out), 4), 1)), float64(r.period()))
+	for _, q := range h.out { // not to answer says as much as a late answer does, and sooner
+		if late := float64(q.judged+1) / 2; late <= 1 && r.now-q.sentAt > int64(late*float64(q.class.Aim)) {
+			q.judged++
+			r.news.Sample(r.now, h.id, late, false)
+			r.judge(h, late)
+		}
+	}
+	patience := max(h.lat, (h.lat+4*h.dev)/float64(max(min(len(h.out), 4), 1)), float64(r.period())) +
+		float64(r.news.Quiet()) // what others hear of it counts, and comes so much later
 	if h.cond == up && len(h.out) > 0 && h.lat != 0 && float64(r.now-h.quietFrom) > patience {
 		r.doubt(h)
 	}
@@ -414,7 +439,13 @@
 		mix(&r.cost[q.kind], t, smooth*smooth)
 		mix(&h.group.lat, t, smooth)
 	}
-	h.share += smooth * (share - h.share)
+	r.news.Sample(r.now, h.id, share, false)
+	r.judge(h, share)
+}
+
+// judge takes how much of its aim an answer took, ours or one that another router tells of.
+func (r *Router) judge(h *host, share float64) {
+	h.share += smoothShare * (min(share, 1) - h.share)
 	switch {
 	case h.share > highShare && r.now-h.cutAt > int64(h.lat):
 		h.limit, h.cutAt = max(1, h.limit*cut), r.now
@@ -423,23 +454,6 @@
 	}
 }
 
-// tell notes what a host itself has told, for the other routers.
-func (r *Router) tell(h *host, position int64, role Role) {
-	r.news.Learn(r.now, gossip.Fact{Host: h.id, Position: position, Role: gossip.Role(role)})
-}
-
-// hear takes what another router tells. A role is as old as the position that came with it.
-func (r *Router) hear(data []byte) {
-	for _, f := range r.news.Hear(r.now, data) {
-		h := r.hosts[f.Host]
-		h.pos, h.posAt = max(h.pos, f.Position), r.now
-		if f.Role != gossip.Unknown {
-			r.learnRole(h, Role(f.Role), f.Position)
-		}
-		r.dispatch(h.group)
-	}
-}
-
 // learnReport takes a host's own account. It is as old as the position in it at the most, so evidence of
 // role is dated by that: a late report never overturns a newer answer.
 func (r *Router) learnReport(h *host, rep *Report) {
@@ -518,7 +532,8 @@
 	}
 	for _, m := range g.members {
 		if len(g.wait) > 0 &&
-			r.now-m.probedAt >= max(r.pace(), (r.now-g.lostAt)/8) && (m.cond == up || r.now >= m.retryAt) {
+			r.now >= m.findAt && (m.cond == up || r.now >= m.retryAt) {
+			m.findAt = r.now + r.apart(max(r.pace(), (r.now-g.lostAt)/8))
 			r.probe(m, 0)
 		}
 	}
@@ -549,7 +564,9 @@
 	}
 	r.retries = min(retryBurst, r.retries+retryEarn)
 	r.probes = min(probeBurst, r.probes+probeEarn)
+	r.asked++
 	r.news.Earn()
+	q.luck = float64(r.random(1<<30)) / (1 << 30)
 	r.reqs[q.id] = q
 	r.hold(q)
 	r.dispatch(q.group)
@@ -620,13 +637,11 @@
 	if len(h.out) == 0 {
 		h.quietFrom = r.now
 	}
-	q.try, q.at, q.sentAt = q.attempts, h, r.now
+	q.try, q.at, q.sentAt, q.judged = q.attempts, h, r.now, 0
 	q.attempts++
 	h.out = append(h.out, q)
 	if h.cold {
 		h.credit--
-	} else {
-		r.sends++
 	}
 	r.act(Action{Kind: SendAction, Request: q.id, Host: h.id})
 }
@@ -658,23 +673,33 @@
 		return r.primaryFor(q)
 	}
 	var a, b *host
-	n, known := 0, false
+	ka, kb, known, busy := 0.0, 0.0, false, false
 	for _, m := range g.members {
-		if m == g.primary && g.sure || m == q.last && len(g.members) > 2 || !r.room(m) {
+		if m == g.primary && g.sure || m == q.last && len(g.members) > 2 {
 			continue
 		}
 		suffices := m.pos >= need
+		if !r.room(m) || r.spares(q, m) {
+			busy = busy || suffices && m.cond == up // to ask others would tell nothing of it
+			continue
+		}
 		if !suffices && (known || !r.set.HostsCheck || q.attempts > 2 || r.now-(m.posAt-m.pos) < need) {
 			continue
 		}
 		if suffices && !known {
-			n, known, a, b = 0, true, nil, nil
+			known, a, b = true, nil, nil
+		}
+		// The least of exponential times is a draw by weight. A cold host weighs as much as it can do. One
+		// with an open connection weighs more: new ones cost hosts work, and those of all routers very much.
+		weight := r.ramp(m)
+		if m.open {
+			weight *= openWeight
 		}
-		n++
-		if r.random(n) == 0 { // a stays a fair draw of all, b of the others
-			a, b = m, a
-		} else if b == nil || r.random(n-1) == 0 {
-			b = m
+		k := -math.Log(float64(1+r.random(1<<30))/(1<<30)) / weight
+		if a == nil || k < ka {
+			a, b, ka, kb = m, a, k, ka
+		} else if b == nil || k < kb {
+			b, kb = m, k
 		}
 	}
 	if a != nil {
@@ -683,10 +708,12 @@
 		}
 		return a
 	}
-	if need > 0 && !r.set.HostsCheck && r.ask(q) {
+	// What a session has just written is at the primary; a bounded read asks whether a replica has caught up.
+	p := r.primaryFor(q)
+	if (p == nil || q.class.Need == Recent) && !busy && need > 0 && !r.set.HostsCheck && r.ask(q) {
 		return nil
 	}
-	return r.primaryFor(q)
+	return p
 }
 
 // ask probes two replicas at random for a read that finds none known to suffice, and lets it wait for what
@@ -708,6 +735,14 @@
 	return r.now < q.askUntil && slices.ContainsFunc(q.group.members, func(m *host) bool { return m.probing })
 }
 
+// spares tells whether a read is not to burden a host whose answers take much of their aim: of many routers
+// each has too few attempts out for its own limit to bind, so each leaves out a part of its reads.
+func (r *Router) spares(q *request, h *host) bool {
+	spare := q.luck*(1-spareShare) > 1-h.share
+	q.spared = q.spared || spare
+	return spare
+}
+
 // lessBusy compares two hosts. One that mostly fails is quick at it, and would draw the traffic of all.
 func (r *Router) lessBusy(a, b *host) bool {
 	if (a.errs > failing) != (b.errs > failing) {
@@ -722,7 +757,7 @@
 // primaryFor gives a read to the primary if it was seen as one; one that is only guessed may hold anything.
 func (r *Router) primaryFor(q *request) *host {
 	h := q.group.primary
-	if h == nil || !h.been || h.role == Replica || !r.room(h) {
+	if h == nil || !h.been || h.role == Replica || !r.room(h) || r.spares(q, h) {
 		return nil
 	}
 	return h
@@ -775,6 +810,7 @@
 	switch ev.Result {
 	case Errored:
 		h.errs += smooth * (1 - h.errs)
+		r.news.Sample(r.now, h.id, 0, true)
 	case Served, TimedOut:
 		if ev.Result == Served {
 			h.errs -= smooth * h.errs
@@ -789,6 +825,10 @@
 			r.tokens[0][q.key] = max(r.tokens[0][q.key], ev.Position)
 		}
 	case Full, Refused, Reset:
+		if ev.Result == Full {
+			r.news.Sample(r.now, h.id, 1, false)
+			r.judge(h, 1)
+		}
 		// A full table refuses new connections at once and leaves open ones alone; bad links do neither.
 		if ev.Result == Refused && ev.Took < r.set.DialTimeout/2 && q != nil && q.dials {
 			h.refusals++
@@ -841,6 +881,9 @@
 func (r *Router) giveUp(q *request) {
 	if q.ranAt == 0 || q.class.Repeat == Safe || q.class.Repeat == Keyed && q.class.Scope == ScopeAll {
 		after := min(q.class.Aim/2, r.set.MaxRetryAfter)
+		if q.spared { // to come back at once would undo it
+			after = r.set.MaxRetryAfter - int64(r.random(int(r.set.MaxRetryAfter/8)))
+		}
 		r.act(Action{Kind: RefuseAction, Request: q.id, RetryAfter: after})
 	} else {
 		r.act(Action{Kind: FailAction, Request: q.id})
@@ -869,11 +912,7 @@
 		}
 		r.tokens[1], r.tokens[0], r.turnedAt = r.tokens[0], map[int64]int64{}, r.now
 	}
-	warm := 0
 	for _, h := range r.order {
-		if r.ramp(h); !h.cold && h.cond == up {
-			warm++
-		}
 		r.suspect(h)
 		if h.open && len(h.out) == 0 && r.now-h.heard > r.keep {
 			h.open = false
@@ -881,13 +920,11 @@
 		}
 	}
 	if since := r.now - r.ratedAt; since >= 1e6 {
-		if warm > 0 { // with all hosts cold, the rate that we had still counts
-			mix(&r.perHost, r.sends*1e6/float64(since)/float64(warm), 1-rateKeep)
-		}
+		mix(&r.perHost, r.asked*1e6/float64(since)/float64(max(len(r.order), 1)), 1-rateKeep)
 		for _, h := range r.order {
 			h.errs *= errsKeep
 		}
-		r.sends, r.ratedAt = 0, r.now
+		r.asked, r.ratedAt = 0, r.now
 		r.keep = min(r.keep+r.keep/keepGrow, keepIdle)
 	}
 	if m := r.news.Due(r.now); m != nil {
--- /dev/null
+++ b/balance/news.go
@@ -0,0 +1,35 @@
+package balance
+
+import "cloverrock/internal/gossip"
+
+// This file passes on to other routers what hosts have told this one, and takes in what they pass on. What is worth
+// telling, and to whom, is decided in internal/gossip; a fact that others heard counts as one that this router heard.
+
+// tell notes what a host itself has told, for the other routers.
+func (r *Router) tell(h *host, position int64, role Role) {
+	r.news.Learn(r.now, gossip.Fact{Host: h.id, Position: position, Role: gossip.Role(role)})
+}
+
+// hear takes what another router tells. A role is as old as the position that came with it.
+func (r *Router) hear(data []byte) {
+	for _, f := range r.news.Hear(r.now, data) {
+		h := r.hosts[f.Host]
+		if f.Position > h.pos {
+			h.pos, h.posAt = f.Position, r.now
+			h.heard, h.quietFrom = max(h.heard, f.Position), max(h.quietFrom, f.Position)
+			if h.cond == down && f.Position > h.fellAt { // no host moves on while it is down
+				r.alive(h)
+			}
+		}
+		if f.Role != gossip.Unknown {
+			r.learnRole(h, Role(f.Role), f.Position)
+		}
+		if f.Failing {
+			h.errs += smooth * (1 - h.errs)
+		} else if f.Share > 0 {
+			h.errs -= smooth * h.errs
+			r.judge(h, f.Share)
+		}
+		r.dispatch(h.group)
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -47,7 +47,7 @@
 const (
 	burst    = 64 // requests whose pay may be saved up: enough for a few messages after a calm time
 	holdPart = 16 // part of Within by which a fact waits for company, half of it to all of it
-	ageParts = 4  // a host is told of again when what the fleet knows of it is older than this part of Within
+	ageParts = 6  // a host is told of again when what the fleet knows of it is older than this part of Within
 )
 
 // book is what is known of one host.
@@ -93,6 +93,14 @@
 	return int64((z ^ z>>31) >> 1 % uint64(max(n, 1)))
 }
 
+// Quiet is how long the fleet may have nothing to tell of a host that answers somebody.
+func (s *State) Quiet() int64 {
+	if !s.conf.on() {
+		return 0
+	}
+	return 3*s.conf.Within/ageParts/2 + s.conf.Within/holdPart
+}
+
 // Add makes a host known, so that what others tell of it is understood.
 func (s *State) Add(host string) {
 	if !s.conf.on() || s.hosts[host] != nil {
@@ -196,6 +204,9 @@
 	if b.changed() && now-b.shared >= gap/2 {
 		return true
 	}
+	if b.n > 0 && now-b.shared >= 3*gap/2 {
+		return true // also of a host that answers nothing any more: all are to go on hearing it
+	}
 	if b.own.Position <= b.told {
 		return false
 	}
