Count and report messages of gateways that can't be read, at most once in ten seconds

Need: a datagram that is no message of the tier, or can't be read, was dropped without a word.

Change: both are counted, and one line in ten seconds tells how many.

--- a/balance/news.go
+++ b/balance/news.go
@@ -1,6 +1,10 @@
 package balance
 
-import "cloverrock/internal/gossip"
+import (
+	"strconv"
+
+	"cloverrock/internal/gossip"
+)
 
 // This file passes on to other routers what hosts have told this one, and takes in what they pass on. What is worth
 // telling, and to whom, is decided in internal/gossip; a fact that others heard counts as one that this router heard.
@@ -12,7 +16,11 @@
 
 // hear takes what another router tells. A role is as old as the position that came with it.
 func (r *Router) hear(data []byte) {
-	for _, f := range r.news.Hear(r.now, data) {
+	facts := r.news.Hear(r.now, data)
+	if n := r.news.Complaint(r.now); n > 0 {
+		r.log(strconv.Itoa(n) + " messages of other routers could not be read")
+	}
+	for _, f := range facts {
 		h := r.hosts[f.Host]
 		if f.Position > h.pos {
 			h.pos, h.posAt = f.Position, r.now
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -45,9 +45,10 @@
 func (c *Config) on() bool { return c.Gateways > 1 && c.Earn > 0 && c.Within > 0 }
 
 const (
-	burst    = 64 // requests whose pay may be saved up: enough for a few messages after a calm time
-	holdPart = 16 // part of Within by which a fact waits for company, half of it to all of it
-	ageParts = 6  // a host is told of again when what the fleet knows of it is older than this part of Within
+	burst         = 64 // requests whose pay may be saved up: enough for a few messages after a calm time
+	complainEvery = 10_000_000
+	holdPart      = 16 // part of Within by which a fact waits for company, half of it to all of it
+	ageParts      = 6  // a host is told of again when what the fleet knows of it is older than this part of Within
 )
 
 // book is what is known of one host.
@@ -76,7 +77,8 @@
 	at    int64   // when the next message goes out; 0 while nothing is due
 	pay   float64 // bytes that may be sent
 
-	Dropped int // messages that could not be read
+	dropped, complained int // messages that could not be read, and how many of these Complaint has told
+	complainedAt        int64
 }
 
 // New returns a state that knows no host.
@@ -128,6 +130,20 @@
 	s.due = slices.DeleteFunc(s.due, func(d *book) bool { return d == b })
 }
 
+// Dropped is the number of messages that could not be read.
+func (s *State) Dropped() int { return s.dropped }
+
+// Complaint tells how many messages could not be read since the last time, at most once in ten seconds: whoever sends
+// them is not to fill a log.
+func (s *State) Complaint(now int64) int {
+	n := s.dropped - s.complained
+	if n == 0 || s.complainedAt != 0 && now-s.complainedAt < complainEvery {
+		return 0
+	}
+	s.complained, s.complainedAt = s.dropped, now
+	return n
+}
+
 // Earn takes the pay of one request.
 func (s *State) Earn() { s.pay = min(s.pay+s.conf.Earn, burst*s.conf.Earn) }
 
@@ -270,7 +286,7 @@
 	}
 	facts, err := decode(now, data)
 	if err != nil {
-		s.Dropped++
+		s.dropped++
 		return nil
 	}
 	var news []Fact
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -240,12 +240,22 @@
 	s.Add("a")
 	before := *s.hosts["a"]
 	for what, m := range bad() {
-		dropped := s.Dropped
-		if f := s.Hear(base, m); f != nil || s.Dropped != dropped+1 || *s.hosts["a"] != before {
-			t.Errorf("%s: %+v, %d dropped", what, f, s.Dropped-dropped)
+		dropped := s.Dropped()
+		if f := s.Hear(base, m); f != nil || s.Dropped() != dropped+1 || *s.hosts["a"] != before {
+			t.Errorf("%s: %+v, %d dropped", what, f, s.Dropped()-dropped)
 		}
 	}
-	if f := s.Hear(base, Encode(base, []Fact{{Host: "stranger", Position: base}})); f != nil || s.Dropped != len(bad()) {
+	if n := s.Complaint(base); n != len(bad()) || s.Complaint(base+ms) != 0 {
+		t.Errorf("%d messages were complained of", n)
+	}
+	s.Hear(base, nil)
+	if n := s.Complaint(base + 5000*ms); n != 0 {
+		t.Error("complains again after 5 s")
+	}
+	if n := s.Complaint(base + 11_000*ms); n != 1 {
+		t.Errorf("%d after 11 s", n)
+	}
+	if f := s.Hear(base, Encode(base, []Fact{{Host: "stranger", Position: base}})); f != nil || s.Dropped() != len(bad())+1 {
 		t.Errorf("a host that no list has named: %+v", f)
 	}
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -21,6 +22,9 @@
 	addrs  []netip.AddrPort
 	all    netip.AddrPort
 	log    zerolog.Logger
+	rare   zerolog.Logger // one line in ten seconds
+
+	strangers int // datagrams from nobody in the tier, and those too long
 }
 
 // Config names the addresses; peers are ordered by their numbers.
@@ -32,7 +36,7 @@
 
 // Open listens, unless the configuration names no address; heard is told each message with its sender's number.
 func Open(l *loop.Loop, c Config, heard func(peer int, data []byte), log zerolog.Logger) (*Peers, error) {
-	p := &Peers{addrs: c.Peers, all: c.All, log: log}
+	p := &Peers{addrs: c.Peers, all: c.All, log: log, rare: log.Sample(&zerolog.BurstSampler{Burst: 1, Period: 10 * time.Second})}
 	if c.Listen == "" {
 		return p, nil
 	}
@@ -42,13 +46,15 @@
 	}
 	socket, err := l.ListenPacket(c.Listen, func(from net.Addr, data []byte) {
 		addr, ok := from.(*net.UDPAddr)
-		if !ok || len(data) > MaxMessage {
-			return
-		}
-		ap := addr.AddrPort()
-		if i, known := numbers[netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port())]; known {
-			heard(i, data)
+		if ok && len(data) <= MaxMessage {
+			ap := addr.AddrPort()
+			if i, known := numbers[netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port())]; known {
+				heard(i, data)
+				return
+			}
 		}
+		p.strangers++
+		p.rare.Warn().Stringer("from", from).Int("bytes", len(data)).Int("dropped", p.strangers).Msg("datagram that is no message of the tier")
 	})
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen %s: %w", c.Listen, err)
