Store test: a removal whose outcome is unknown on a busy machine is asked again

Ruled out: the store, whose answer is as documented.

Change: the test asks again until the removal is done or refused, since who is gone is refused.

--- a/internal/store/node/node_test.go
+++ b/internal/store/node/node_test.go
@@ -303,14 +303,16 @@
 	case <-r.ctx.Done():
 		t.Fatal("a removed instance is let in with its old data")
 	}
-	_, err = operator.Call(r.ctx, &frame.Request{Op: frame.OpRemove, Node: 99}, false)
-	r.ok(err)
+	var told *client.Error
+	r.until("the new id is removed", func() bool { // on a busy machine the outcome may be unknown; who is gone is refused
+		_, err := operator.Call(r.ctx, &frame.Request{Op: frame.OpRemove, Node: 99}, false)
+		return err == nil || errors.As(err, &told) && told.Code == frame.CodeRefused
+	})
 	r.until("three are left", func() bool {
 		s, err := r.nodes[0].Status(r.ctx)
 		return err == nil && len(s.Members) == 3 && len(s.Learners) == 0
 	})
 	_, err = operator.Call(r.ctx, &frame.Request{Op: frame.OpRemove, Node: 12345}, false)
-	var told *client.Error
 	if !errors.As(err, &told) || told.Code != frame.CodeRefused {
 		t.Errorf("who is no member: %v", err)
 	}
