--- a/balance/balance.go
+++ b/balance/balance.go
@@ -16,6 +16,7 @@
 	"strings"
 
 	"cloverrock/internal/gossip"
+	"cloverrock/internal/random"
 )
 
 const (
@@ -124,7 +125,7 @@
 type Router struct {
 	set     Settings
 	now     int64
-	rand    uint64
+	rand    random.Source
 	started bool
 	hosts   map[string]*host
 	order   []*host  // all hosts, sorted by id
@@ -151,7 +152,7 @@
 	}
 	set.Classes = append([]Class(nil), set.Classes...)
 	r := &Router{
-		set: set, rand: seed, hosts: map[string]*host{},
+		set: set, rand: random.Source(seed), hosts: map[string]*host{},
 		reqs: map[int64]*request{}, tokens: [2]map[int64]int64{{}, {}},
 		retries: retryBurst, probes: probeBurst, keep: keepIdle, probeRTT: float64(set.Tick),
 	}
@@ -218,14 +219,8 @@
 	return int64((0.5 + float64(r.random(1e6))/1e6) * math.Sqrt(float64(r.set.Gateways)) * float64(wait))
 }
 
-// random returns a number below n, or 0 (splitmix64).
-func (r *Router) random(n int) int {
-	r.rand += 0x9e3779b97f4a7c15
-	z := r.rand
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return int((z ^ z>>31) % uint64(max(n, 1)))
-}
+// random returns a number below n, or 0.
+func (r *Router) random(n int) int { return int(r.rand.Below(int64(n))) }
 
 // mix moves a running mean towards a new value; the first value is the mean.
 func mix(mean *float64, value, weight float64) {
--- a/internal/discovery/retry.go
+++ b/internal/discovery/retry.go
@@ -1,12 +1,14 @@
 package discovery
 
+import "cloverrock/internal/random"
+
 // Retry decides when a gateway asks discovery. Alone it may ask at once and again soon. Where the list has to be asked
 // for, all gateways meet one service that takes their calls in turn: calls that come faster than it works wait until they
 // fail, and the work on them is lost, so that nobody is served any more. Then each waits for a random part of the time
 // that all of them need, and longer after each failure. It does no I/O and reads no clock; times are microseconds.
 type Retry struct {
 	first, least, most, next int64
-	rand                     uint64
+	rand                     random.Source
 }
 
 const (
@@ -20,7 +22,7 @@
 // NewRetry returns the times for one of a number of gateways. shared tells that all ask one service; where an agent of
 // each gateway's own holds the list, they need not spare it.
 func NewRetry(gateways int, shared bool, seed uint64) *Retry {
-	r := &Retry{least: minRetry, most: maxRetry, rand: seed}
+	r := &Retry{least: minRetry, most: maxRetry, rand: random.Source(seed)}
 	if shared && gateways > 1 {
 		all := int64(gateways) * call
 		r.first, r.least, r.most = all, max(minRetry, all/4), max(maxRetry, 2*all)
@@ -29,26 +31,17 @@
 	return r
 }
 
-// random returns a time below n (splitmix64).
-func (r *Retry) random(n int64) int64 {
-	r.rand += 0x9e3779b97f4a7c15
-	z := r.rand
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return int64((z ^ z>>31) >> 1 % uint64(max(n, 1)))
-}
-
 // First is how long to wait before the first call: none without a list to go on with.
 func (r *Retry) First(known bool) int64 {
 	if !known || r.first == 0 {
 		return 0
 	}
-	return r.random(r.first)
+	return r.rand.Below(r.first)
 }
 
 // Failed is how long to wait after a call or a watch that ended.
 func (r *Retry) Failed() int64 {
-	wait := r.next/2 + r.random(r.next)
+	wait := r.next/2 + r.rand.Below(r.next)
 	r.next = min(2*r.next, r.most)
 	return wait
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -13,6 +13,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"cloverrock/internal/random"
 )
 
 // Role is the part that a host was seen to play.
@@ -76,7 +78,7 @@
 // State is one gateway's part in the exchange. It is not safe for concurrent use.
 type State struct {
 	conf   Config
-	rand   uint64
+	rand   random.Source
 	hosts  map[string]*book
 	codes  map[uint32]*book // nil where two hosts share a code: nothing is believed of either
 	shorts map[uint32]*book // the same by the part of the code that loads have
@@ -92,16 +94,7 @@
 
 // New returns a state that knows no host.
 func New(c Config, seed uint64) *State {
-	return &State{conf: c, rand: seed, hosts: map[string]*book{}, codes: map[uint32]*book{}, shorts: map[uint32]*book{}, pay: burst * c.Earn}
-}
-
-// random returns a number below n, or 0 (splitmix64).
-func (s *State) random(n int64) int64 {
-	s.rand += 0x9e3779b97f4a7c15
-	z := s.rand
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return int64((z ^ z>>31) >> 1 % uint64(max(n, 1)))
+	return &State{conf: c, rand: random.Source(seed), hosts: map[string]*book{}, codes: map[uint32]*book{}, shorts: map[uint32]*book{}, pay: burst * c.Earn}
 }
 
 // Quiet is how long the fleet may have nothing to tell of a host that answers somebody.
@@ -196,7 +189,7 @@
 	b.due = true
 	s.due = append(s.due, b)
 	if hold := s.conf.Within / holdPart; s.at == 0 {
-		s.at = now + hold/2 + s.random(hold/2)
+		s.at = now + hold/2 + s.rand.Below(hold/2)
 	}
 }
 
--- a/internal/gossip/load.go
+++ b/internal/gossip/load.go
@@ -36,7 +36,7 @@
 	b.moved = true
 	s.moved = append(s.moved, b)
 	if wait := s.conf.Within / loadParts; s.loadAt == 0 {
-		s.loadAt = now + wait/2 + s.random(wait/2)
+		s.loadAt = now + wait/2 + s.rand.Below(wait/2)
 	}
 }
 
