--- a/balance/api.go
+++ b/balance/api.go
@@ -70,6 +70,7 @@
 	FallFor      int64
 
 	Gateways int     // routers of the tier, this one included; 0 or 1: there is nobody to tell anything
+	Ordinal  int     // number of this one among them, from 0; -1: not known, and nothing is told
 	TellEarn float64 // bytes to other routers, counted for each of them, that a request pays for
 }
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,7 +26,7 @@
 	firstLimit   = 4.0  // in-flight attempts granted to a host of which nothing is known
 	lowShare     = 0.28 // a host whose answers take less of their aim than this may be given more at once
 	openWeight   = 16.0 // how much more often a host is drawn that we have a connection to
-	spareShare   = 0.2  // above this a part of reads is kept from a host, all of them at 1
+	spareShare   = 0.3  // above this a part of reads is kept from a host, all of them at 1
 	highShare    = 0.4  // above this it is given less; between the two its limit rests
 	cut          = 0.8  // what a cut leaves of the limit: several routers cut at once, so gently
 	maxMisfits   = 8    // reads that find no host before the others of a group are left for later
@@ -156,7 +156,7 @@
 		reqs: map[int64]*request{}, tokens: [2]map[int64]int64{{}, {}},
 		retries: retryBurst, probes: probeBurst, keep: keepIdle, probeRTT: float64(set.Tick),
 	}
-	tell := gossip.Config{Gateways: set.Gateways, Earn: set.TellEarn}
+	tell := gossip.Config{Gateways: set.Gateways, Ordinal: set.Ordinal, Earn: set.TellEarn}
 	for _, c := range set.Classes {
 		if c.Need == Recent {
 			tell.Within = max(tell.Within, c.Bound)
@@ -202,6 +202,7 @@
 	case PeerEvent:
 		r.hear(ev.Peer, ev.Data)
 	}
+	r.tellAll()
 	return r.acts
 }
 
@@ -216,12 +217,15 @@
 	if r.set.Gateways < 2 {
 		return wait
 	}
-	return int64((0.5 + float64(r.random(1e6))/1e6) * math.Sqrt(float64(r.set.Gateways)) * float64(wait))
+	return int64((0.5 + r.chance()) * math.Sqrt(float64(r.set.Gateways)) * float64(wait))
 }
 
 // random returns a number below n, or 0.
 func (r *Router) random(n int) int { return int(r.rand.Below(int64(n))) }
 
+// chance returns a number from 0 on and below 1.
+func (r *Router) chance() float64 { return float64(r.random(1<<30)) / (1 << 30) }
+
 // mix moves a running mean towards a new value; the first value is the mean.
 func mix(mean *float64, value, weight float64) {
 	if *mean == 0 {
@@ -281,7 +285,7 @@
 	g := r.groupOf(e.Group)
 	h := &host{id: e.Host, group: g, limit: firstLimit}
 	r.hosts[h.id] = h
-	r.news.Add(h.id)
+	r.news.Add(h.id, e.Group)
 	byID := func(a, b *host) int { return strings.Compare(a.id, b.id) }
 	i, _ := slices.BinarySearchFunc(r.order, h, byID)
 	r.order = slices.Insert(r.order, i, h)
@@ -317,7 +321,7 @@
 // chill marks a start: the host can do only a part of its work. The first credit is drawn from none to one:
 // with a whole one each, hundreds of routers would push it over at once.
 func (r *Router) chill(h *host, at int64) {
-	h.cold, h.coldAt, h.credit, h.earned = true, at, float64(r.random(1e6))/1e6, r.now
+	h.cold, h.coldAt, h.credit, h.earned = true, at, r.chance(), r.now
 	h.limit, h.share = 1, 0
 }
 
@@ -358,10 +362,7 @@
 	if h.refusals > 1 { // alive, so its table of connections is full; one alone may be a bad link's
 		h.refusals, r.keep = 0, max(r.keep/2, r.period())
 	}
-	if h.cond == up {
-		return
-	}
-	if h.died {
+	if h.died { // and so not up
 		r.chill(h, r.now)
 	}
 	h.cond, h.died = up, false
@@ -397,12 +398,12 @@
 	for _, q := range h.out { // not to answer says as much as a late answer does, and sooner
 		if late := float64(q.judged+1) / 2; late <= 1 && r.now-q.sentAt > int64(late*float64(q.class.Aim)) {
 			q.judged++
-			r.news.Sample(r.now, h.id, late, false)
+			r.news.Sample(h.id, late, false)
 			r.judge(h, late)
 		}
 	}
 	patience := max(h.lat, (h.lat+4*h.dev)/float64(max(min(len(h.out), 4), 1)), float64(r.period())) +
-		float64(r.news.Quiet()) // what others hear of it counts, and comes so much later
+		float64(r.news.Quiet(h.id)) // what others hear of it counts, and comes so much later
 	if h.cond == up && len(h.out) > 0 && h.lat != 0 && float64(r.now-h.quietFrom) > patience {
 		r.doubt(h)
 	}
@@ -434,7 +435,7 @@
 		mix(&r.cost[q.kind], t, smooth*smooth)
 		mix(&h.group.lat, t, smooth)
 	}
-	r.news.Sample(r.now, h.id, share, false)
+	r.news.Sample(h.id, share, false)
 	r.judge(h, share)
 }
 
@@ -553,15 +554,14 @@
 		key: ev.Key, hasKey: ev.HasKey, until: ev.Until, halfAt: r.now + (ev.Until-r.now)/2}
 	q.aimAt = min(r.now+c.Aim+int64(c.AimStretch*float64(ev.Hint)), q.until)
 	if c.Need == OwnWrite && !r.set.Carried {
-		q.need = r.token(ev.Key)
+		q.need = max(r.floor, r.tokens[0][ev.Key], r.tokens[1][ev.Key]) // one floor covers those forgotten
 	} else if c.Need == OwnWrite && ev.SinceWrite != 0 {
 		q.need = r.now - ev.SinceWrite
 	}
 	r.retries = min(retryBurst, r.retries+retryEarn)
 	r.probes = min(probeBurst, r.probes+probeEarn)
 	r.asked++
-	r.news.Earn()
-	q.luck = float64(r.random(1<<30)) / (1 << 30)
+	q.luck = r.chance()
 	r.reqs[q.id] = q
 	r.hold(q)
 	r.dispatch(q.group)
@@ -635,7 +635,7 @@
 	q.try, q.at, q.sentAt, q.judged = q.attempts, h, r.now, 0
 	q.attempts++
 	h.out = append(h.out, q)
-	r.tellOut(h)
+	r.news.Out(h.id, len(h.out))
 	if h.cold {
 		h.credit--
 	}
@@ -691,7 +691,7 @@
 		if m.open {
 			weight *= openWeight
 		}
-		k := -math.Log(float64(1+r.random(1<<30))/(1<<30)) / weight
+		k := -math.Log(1-r.chance()) / weight
 		if a == nil || k < ka {
 			a, b, ka, kb = m, a, k, ka
 		} else if b == nil || k < kb {
@@ -747,7 +747,15 @@
 	if r.set.CrossPrice > 0 && (a.zone == r.set.Zone) != (b.zone == r.set.Zone) && len(a.out) == len(b.out) {
 		return a.zone == r.set.Zone
 	}
-	return len(a.out)+r.news.Load(r.now, a.id) < len(b.out)+r.news.Load(r.now, b.id)
+	outA, coming := r.news.Load(r.now, a.id)
+	outB, _ := r.news.Load(r.now, b.id)
+	more := float64(len(b.out)-len(a.out)) + outB - outA
+	// All routers see this difference, so each moves a part of its reads: together, of what comes meanwhile,
+	// as many as even it out. A new connection must be worth all of that.
+	if b.open && !a.open {
+		more -= coming / 2
+	}
+	return more+coming/2 > coming*r.chance()
 }
 
 // primaryFor gives a read to the primary if it was seen as one; one that is only guessed may hold anything.
@@ -759,11 +767,6 @@
 	return h
 }
 
-// token is the position that shows a session its own writes. Those forgotten are covered by one floor.
-func (r *Router) token(key int64) int64 {
-	return max(r.floor, r.tokens[0][key], r.tokens[1][key])
-}
-
 // ---- Outcomes ----
 
 func (r *Router) outcome(ev *Event) {
@@ -774,7 +777,7 @@
 	r.learn(h, q, ev)
 	if q != nil && q.at != nil && q.try == ev.Attempt {
 		q.at.out = slices.DeleteFunc(q.at.out, func(o *request) bool { return o == q })
-		r.tellOut(q.at)
+		r.news.Out(q.at.id, len(q.at.out))
 		q.at, q.last = nil, q.at
 	}
 	if q != nil && (ev.Over || q.done) {
@@ -807,7 +810,7 @@
 	switch ev.Result {
 	case Errored:
 		h.errs += smooth * (1 - h.errs)
-		r.news.Sample(r.now, h.id, 0, true)
+		r.news.Sample(h.id, 0, true)
 	case Served, TimedOut:
 		if ev.Result == Served {
 			h.errs -= smooth * h.errs
@@ -823,7 +826,7 @@
 		}
 	case Full, Refused, Reset:
 		if ev.Result == Full {
-			r.news.Sample(r.now, h.id, 1, false)
+			r.news.Sample(h.id, 1, false)
 			r.judge(h, 1)
 		}
 		// A full table refuses new connections at once and leaves open ones alone; bad links do neither.
@@ -924,7 +927,7 @@
 		r.asked, r.ratedAt = 0, r.now
 		r.keep = min(r.keep+r.keep/keepGrow, keepIdle)
 	}
-	r.tellAll()
+	r.askAround()
 	r.forget()
 	for _, g := range r.groups {
 		if !g.sure {
--- a/balance/news.go
+++ b/balance/news.go
@@ -9,29 +9,24 @@
 // This file passes on to other routers what hosts have told this one, and takes in what they pass on. What is worth
 // telling, and to whom, is decided in internal/gossip; a fact that others heard counts as one that this router heard.
 
-// busyShare is the part of their aim that answers of a group take from which on loads are told.
-const busyShare = 0.33
-
 // tell notes what a host itself has told, for the other routers.
 func (r *Router) tell(h *host, position int64, role Role) {
-	r.news.Learn(r.now, gossip.Fact{Host: h.id, Position: position, Role: gossip.Role(role)})
+	r.news.Learn(gossip.Fact{Host: h.id, Position: position, Role: gossip.Role(role)})
 }
 
-// tellOut notes how many attempts are out at a host, to be told where its group is so busy that it matters who holds them.
-func (r *Router) tellOut(h *host) {
-	share := 0.0
-	for _, m := range h.group.members {
-		share += m.share
+// askAround asks hosts of which the fleet is to hear, on behalf of all.
+func (r *Router) askAround() {
+	for _, id := range r.news.Ask(r.now) {
+		if h := r.hosts[id]; h.cond == up {
+			r.probe(h, 1)
+		}
 	}
-	r.news.Out(r.now, h.id, len(h.out), share > busyShare*float64(len(h.group.members)))
 }
 
 // tellAll sends what is due to the others.
 func (r *Router) tellAll() {
-	for _, m := range [][]byte{r.news.Due(r.now), r.news.DueLoad(r.now)} {
-		if m != nil {
-			r.act(Action{Kind: TellAction, Peer: -1, Data: m})
-		}
+	for _, m := range r.news.Due(r.now) {
+		r.act(Action{Kind: TellAction, Peer: m.To, Data: m.Data})
 	}
 }
 
--- a/cmd/cloverrock-lab/main.go
+++ b/cmd/cloverrock-lab/main.go
@@ -16,7 +16,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "cloverrock-lab", Short: "Rehearse failures on this machine", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(storeSim(), storeChaos(), restartGateway(), besideGateway(), linked(), fleetTable(), manyGateways())
+	root.AddCommand(storeSim(), storeChaos(), restartGateway(), besideGateway(), linked(), fleetTable(), manyGateways(), tierCmd())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "cloverrock-lab:", err)
 		if errors.Is(err, errFound) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -307,6 +308,13 @@
 	if n := len(c.Peer.Peers); n > 0 && n != o.Balancers {
 		return fault("settings.balancers", "is %d, but peers names %d", o.Balancers, n)
 	}
+	if o.Ordinal == nil { // where gateways send from the address at which they listen, the list tells it
+		if i := slices.IndexFunc(c.Peer.Peers, func(a netip.AddrPort) bool { return a.String() == c.Peer.Listen }); i >= 0 {
+			o.Ordinal = &i
+		}
+	} else if *o.Ordinal < 0 || *o.Ordinal >= max(o.Balancers, 1) {
+		return fault("settings.ordinal", "is %d, but there are %d balancers, counted from 0", *o.Ordinal, o.Balancers)
+	}
 	s, _ := o.Settings()
 	if c.Peer.Listen == "" || !c.Peer.All.IsValid() { // nobody would hear it
 		s.Gateways, s.TellEarn = 0, 0
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,17 +1,19 @@
-// Package gossip decides what the gateways of a fleet tell one another of the hosts, when, and what of it is believed.
+// Package gossip decides what the gateways of a fleet tell one another of the hosts, to whom, when, and what of it is
+// believed.
 //
-// Many gateways see each host seldom, but together often. What one hears from a host goes to all others in one short
-// message, unless somebody else has told it meanwhile: every gateway waits for a random while before it speaks, and what
-// it hears in that time it does not say again. So the number of messages follows the hosts and not the gateways, and
-// all of it is paid for by the requests that a gateway takes, at a price in the settings.
+// Many gateways see each host seldom, but together often. Each group of hosts has a keeper among the gateways, found by
+// each gateway for itself (keeper.go). A gateway reports to it what it hears from a host and how many attempts it has
+// out there, in a few bytes to the keeper alone; the keeper adds up and tells everybody in one short digest, as often as
+// the group's requests pay for. So what is told in a second follows the requests and the groups; only digests are
+// multiplied by the number of gateways, and they come the less often the more these are.
 //
-// Only what stays true is told: a host had applied its log up to a position, and was primary or replica at that time.
-// A message that is lost, late, repeated or out of order therefore does no harm. Nothing here does I/O, reads a clock or
-// starts anything; the same calls give the same messages.
+// Nothing rests on who keeps: two keepers at a time do no harm, since positions only rise and loads are taken from the
+// one that a gateway reports to, and without one a gateway knows what it has seen itself. A message that is lost, late,
+// repeated or out of order does no harm either. Nothing here does I/O, reads a clock or starts anything; the same calls
+// give the same messages.
 package gossip
 
 import (
-	"cmp"
 	"slices"
 
 	"cloverrock/internal/random"
@@ -36,57 +38,98 @@
 	Failing  bool    // most answers of late were errors
 }
 
+// Message is one datagram to send.
+type Message struct {
+	To   int // number of a gateway, or Everybody
+	Data []byte
+}
+
+// Everybody is the receiver of what goes to all gateways.
+const Everybody = -1
+
 // Config describes the fleet.
 type Config struct {
 	Gateways int     // of the tier, this one included
-	Earn     float64 // bytes, each counted once for each receiver, that a request pays for
+	Ordinal  int     // number of this one among them, from 0
+	Earn     float64 // bytes, each counted once for each receiver, that a request pays for at the most
 	Within   int64   // what is told is wanted by others within this time of its being so
 }
 
 // on tells whether there is anybody to tell.
-func (c *Config) on() bool { return c.Gateways > 1 && c.Earn > 0 && c.Within > 0 }
+func (c *Config) on() bool {
+	return c.Gateways > 1 && c.Earn > 0 && c.Within > 0 && c.Ordinal >= 0 && c.Ordinal < c.Gateways
+}
 
 const (
-	burst         = 64 // requests whose pay may be saved up: enough for a few messages after a calm time
 	complainEvery = 10_000_000
-	holdPart      = 16 // part of Within by which a fact waits for company, half of it to all of it
-	ageParts      = 6  // a host is told of again when what the fleet knows of it is older than this part of Within
+	company       = 20_000    // after reports were sent, others wait so long: a busy gateway sends some at a time
+	forget        = 1_000_000 // a count that was not told again for so long stands for nothing
 )
 
 // book is what is known of one host.
 type book struct {
 	id     string
 	code   uint32
-	own    Fact  // heard from the host itself
-	told   int64 // the position that the fleet has been told, by anybody
-	role   Role  // and the role, as of then
-	due    bool  // own waits to be told
-	shared int64 // when the fleet was told last
+	circle *circle
+
+	own     Fact // heard from the host itself
+	samples samples
+	out     int  // attempts of this gateway
+	said    int  // and as it last reported them
+	begun   int  // attempts since then
+	due     bool // to be reported
 
-	sum       float64 // of the shares of answers since we told or heard of it
+	best  Fact  // the latest position that anybody has heard and told, with the role as of it
+	seen  int64 // when it came to be known
+	asked int64 // as its keeper: when Ask named it last
+	told  int64
+	all   samples
+	count []count // by gateway
+	held  int     // all of these
+	swept int64
+
+	load float64 // as the keeper told: attempts of all, this gateway's as it had reported them included
+	mine int
+}
+
+// samples are of how much of their aim answers took.
+type samples struct {
+	sum       float64
 	n, errors int
-	share     float64 // as the fleet was told last
-	failing   bool
-
-	out, toldOut int     // attempts of this gateway, and as the others know
-	moved        bool    // that has changed
-	others       []count // by gateway
-	held         int     // all of these
-	swept        int64
+}
+
+func (s *samples) add(share float64, failed bool) {
+	s.n++
+	s.sum += share
+	if failed {
+		s.errors++
+	}
+}
+
+// put writes what the samples say into a fact.
+func (s *samples) put(f *Fact) {
+	if s.n > 0 {
+		f.Share, f.Failing = s.sum/float64(s.n), 2*s.errors > s.n
+	}
+}
+
+// count is what a gateway has out at a host, as of when.
+type count struct {
+	n  int
+	at int64
 }
 
 // State is one gateway's part in the exchange. It is not safe for concurrent use.
 type State struct {
-	conf   Config
-	rand   random.Source
-	hosts  map[string]*book
-	codes  map[uint32]*book // nil where two hosts share a code: nothing is believed of either
-	shorts map[uint32]*book // the same by the part of the code that loads have
-	due    []*book
-	moved  []*book
-	loadAt int64   // when the next load message goes out; 0 while none is due
-	at     int64   // when the next message goes out; 0 while nothing is due
-	pay    float64 // bytes that may be sent
+	conf    Config
+	rand    random.Source
+	hosts   map[string]*book
+	codes   map[uint32]*book // nil where two hosts share a code: nothing is believed of either
+	circles []*circle
+	groups  map[uint32]*circle // by code, as with hosts
+	dead    map[int]int64      // gateways that did not answer as keepers, until when they are passed over
+	due     []*book
+	next    int64 // when reports may go out again
 
 	dropped, complained int // messages that could not be read, and how many of these Complaint has told
 	complainedAt        int64
@@ -94,30 +137,34 @@
 
 // New returns a state that knows no host.
 func New(c Config, seed uint64) *State {
-	return &State{conf: c, rand: random.Source(seed), hosts: map[string]*book{}, codes: map[uint32]*book{}, shorts: map[uint32]*book{}, pay: burst * c.Earn}
+	return &State{conf: c, rand: random.Source(seed), hosts: map[string]*book{}, codes: map[uint32]*book{},
+		groups: map[uint32]*circle{}, dead: map[int]int64{}}
 }
 
-// Quiet is how long the fleet may have nothing to tell of a host that answers somebody.
-func (s *State) Quiet() int64 {
-	if !s.conf.on() {
-		return 0
-	}
-	return 3*s.conf.Within/ageParts/2 + s.conf.Within/holdPart
-}
-
-// Add makes a host known, so that what others tell of it is understood.
-func (s *State) Add(host string) {
+// Add makes a host of a group known, so that what others tell of it is understood.
+func (s *State) Add(host string, group int64) {
 	if !s.conf.on() || s.hosts[host] != nil {
 		return
 	}
-	b := &book{id: host, code: code(host)}
+	b := &book{id: host, code: code(host), circle: s.circle(group)}
 	s.hosts[host] = b
-	for m, c := range map[*map[uint32]*book]uint32{&s.codes: b.code, &s.shorts: b.code >> 4} {
-		if _, taken := (*m)[c]; taken {
-			(*m)[c] = nil
-		} else {
-			(*m)[c] = b
-		}
+	enter(s.codes, b.code, b)
+	enter(b.circle.short, uint16(b.code), b)
+	b.circle.books = append(b.circle.books, b)
+}
+
+// enter puts a value under its code. Of two with one code nothing is believed: whom a message means is not known.
+func enter[K comparable, V any](m map[K]*V, k K, v *V) {
+	if _, taken := m[k]; taken {
+		v = nil
+	}
+	m[k] = v
+}
+
+// leave takes a value out; what shared its code stays marked, since old messages may still come.
+func leave[K comparable, V any](m map[K]*V, k K, v *V) {
+	if m[k] == v {
+		delete(m, k)
 	}
 }
 
@@ -128,14 +175,11 @@
 		return
 	}
 	delete(s.hosts, host)
-	if s.codes[b.code] == b { // one that shares its code stays marked: whom an old message means is not known
-		delete(s.codes, b.code)
-	}
-	if s.shorts[b.code>>4] == b {
-		delete(s.shorts, b.code>>4)
-	}
-	s.due = slices.DeleteFunc(s.due, func(d *book) bool { return d == b })
-	s.moved = slices.DeleteFunc(s.moved, func(d *book) bool { return d == b })
+	leave(s.codes, b.code, b)
+	leave(b.circle.short, uint16(b.code), b)
+	is := func(o *book) bool { return o == b }
+	b.circle.books = slices.DeleteFunc(b.circle.books, is)
+	s.due = slices.DeleteFunc(s.due, is)
 }
 
 // Dropped is the number of messages that could not be read.
@@ -152,138 +196,76 @@
 	return n
 }
 
-// Earn takes the pay of one request.
-func (s *State) Earn() { s.pay = min(s.pay+s.conf.Earn, burst*s.conf.Earn) }
-
-// Learn takes what a host itself has told. It is told on if the fleet's knowledge of the host is old by now, or if the
-// role is news.
-func (s *State) Learn(now int64, f Fact) {
-	b := s.hosts[f.Host]
-	if b == nil || f.Position <= b.own.Position {
-		return
+// Learn takes what a host itself has told.
+func (s *State) Learn(f Fact) {
+	if b := s.hosts[f.Host]; b != nil && f.Position > b.own.Position {
+		b.own = f
+		s.mark(b)
 	}
-	b.own = f
-	s.consider(now, b)
 }
 
 // Sample takes how much of its aim an answer of a host took, or that it was an error.
-func (s *State) Sample(now int64, host string, share float64, failed bool) {
-	b := s.hosts[host]
-	if b == nil {
-		return
-	}
-	b.n++
-	b.sum += share
-	if failed {
-		b.errors++
+func (s *State) Sample(host string, share float64, failed bool) {
+	if b := s.hosts[host]; b != nil {
+		b.samples.add(share, failed)
+		s.mark(b)
 	}
-	s.consider(now, b)
 }
 
-// consider has a host told of, if there is news. The wait is short against what the news are good for, and random, so
-// that one of those who have the same news speaks and the others hear it in time.
-func (s *State) consider(now int64, b *book) {
-	if s.codes[b.code] != b || b.due || !s.news(now, b) {
-		return
-	}
-	b.due = true
-	s.due = append(s.due, b)
-	if hold := s.conf.Within / holdPart; s.at == 0 {
-		s.at = now + hold/2 + s.rand.Below(hold/2)
+// Out takes how many attempts this gateway has out at a host now.
+func (s *State) Out(host string, n int) {
+	if b := s.hosts[host]; b != nil && b.out != n {
+		b.begun += max(n-b.out, 0)
+		b.out = n
+		s.mark(b)
 	}
 }
 
-// now is the fact that stands for what was heard from the host itself.
-func (b *book) fact() Fact {
-	f := b.own
-	f.Host = b.id
-	if b.n > 0 {
-		f.Share, f.Failing = b.sum/float64(b.n), 2*b.errors > b.n
-	}
-	return f
-}
-
-// changed tells whether the host's answers are clearly other than the fleet was told: an error, or twice as fast or slow.
-func (b *book) changed() bool {
-	f := b.fact()
-	return b.n > 0 && (f.Failing != b.failing || f.Share > 2*b.share || 2*f.Share < b.share)
-}
-
-// spread notes that the fleet has been told a fact.
-func (b *book) spread(now int64, f *Fact) {
-	if f.Position >= b.told && f.Position > 0 {
-		b.told, b.role = f.Position, f.Role // later evidence of the role goes before older
-	}
-	if f.Share > 0 || f.Failing {
-		b.share, b.failing = f.Share, f.Failing
-		b.sum, b.n, b.errors = 0, 0, 0
+// mark has a host reported, unless another shares its code.
+func (s *State) mark(b *book) {
+	if !b.due && s.codes[b.code] == b {
+		b.due = true
+		s.due = append(s.due, b)
 	}
-	b.shared = max(b.shared, now)
 }
 
-// news tells whether what this gateway has heard of a host is worth telling. A host whose position stands still is told
-// of no more: others learn nothing by it.
-func (s *State) news(now int64, b *book) bool {
-	gap := s.conf.Within / ageParts
-	if b.changed() && now-b.shared >= gap/2 {
-		return true
-	}
-	if b.n > 0 && now-b.shared >= 3*gap/2 {
-		return true // also of a host that answers nothing any more: all are to go on hearing it
+// Due returns the messages that are to go now: reports, and digests of the groups that this gateway keeps.
+func (s *State) Due(now int64) []Message {
+	var ms []Message
+	if now >= s.next && len(s.due) > 0 {
+		s.next = now + company
+		ms = s.reports(now)
 	}
-	if b.own.Position <= b.told {
-		return false
-	}
-	if b.own.Role != Unknown && b.own.Role != b.role {
-		return true
+	for _, c := range s.circles {
+		if m := s.digest(now, c); m != nil {
+			ms = append(ms, Message{Everybody, m})
+		}
+		s.giveUp(now, c)
 	}
-	return b.own.Position-b.told >= gap/2 && now-b.shared >= gap
+	return ms
 }
 
-// Due returns the message that is to go to all others now, or nil.
-func (s *State) Due(now int64) []byte {
-	if s.at == 0 || now < s.at {
-		return nil
-	}
-	s.at = 0
-	s.due = slices.DeleteFunc(s.due, func(b *book) bool { // others may have told it meanwhile
-		b.due = s.news(now, b)
-		return !b.due
-	})
-	if len(s.due) == 0 {
-		return nil
-	}
-	// Roles first, since writes wait for them; then what the fleet has gone without for longest.
-	slices.SortStableFunc(s.due, func(a, b *book) int {
-		if an, bn := a.own.Role != a.role, b.own.Role != b.role; an != bn {
-			if an {
-				return -1
-			}
-			return 1
+// reports returns what is to be told to keepers, and takes in what this gateway keeps itself.
+func (s *State) reports(now int64) (ms []Message) {
+	for _, b := range s.due {
+		r := report{Fact: b.own, code: b.code, out: b.out, begun: b.begun}
+		r.Host = b.id
+		b.samples.put(&r.Fact)
+		b.due, b.samples, b.said, b.begun = false, samples{}, b.out, 0
+		to := s.keeper(now, b.circle)
+		if to == s.conf.Ordinal {
+			s.take(now, now, to, b, &r)
+			continue
 		}
-		return cmp.Compare(a.shared, b.shared)
-	})
-	most := min(len(s.due), MaxFacts)
-	if can := int((s.pay/float64(s.conf.Gateways-1) - headSize) / factSize); can < most {
-		most = can
-	}
-	if most < 1 { // no pay: later, when more has come in
-		s.at = now + s.conf.Within/holdPart
-		return nil
-	}
-	facts := make([]Fact, 0, most)
-	for _, b := range s.due[:most] {
-		b.due = false
-		f := b.fact()
-		b.spread(now, &f)
-		facts = append(facts, f)
-	}
-	if s.due = slices.Delete(s.due, 0, most); len(s.due) > 0 {
-		s.at = now + s.conf.Within/holdPart
+		b.circle.wait(now, to)
+		i := slices.IndexFunc(ms, func(m Message) bool { return m.To == to && len(m.Data)+reportSize <= MaxMessage })
+		if i < 0 {
+			i, ms = len(ms), append(ms, Message{to, head(now, reportVersion)})
+		}
+		ms[i].Data = appendReport(ms[i].Data, now, &r)
 	}
-	m := Encode(now, facts)
-	s.pay -= float64(len(m) * (s.conf.Gateways - 1))
-	return m
+	s.due = s.due[:0]
+	return ms
 }
 
 // Hear takes a message of another gateway and returns what of it is news and may be believed. A message that can't be
@@ -292,26 +274,36 @@
 	if !s.conf.on() {
 		return nil
 	}
-	if len(data) > 0 && data[0] == loadVersion {
-		if !s.hearLoad(now, from, data) {
-			s.dropped++
+	kind, sent, body, err := open(now, data)
+	if err == nil && from >= 0 && from < s.conf.Gateways {
+		delete(s.dead, from)
+		var facts []Fact
+		if kind == reportVersion {
+			facts, err = s.hearReport(now, sent, from, body)
+		} else {
+			facts, err = s.hearDigest(now, sent, from, body)
+		}
+		if err == nil {
+			return facts
 		}
-		return nil
 	}
-	facts, err := decode(now, data)
-	if err != nil {
-		s.dropped++
-		return nil
+	s.dropped++
+	return nil
+}
+
+// Load is how many attempts other gateways have out at a host, and how many of the group's are about to begin that
+// nobody has told of. Both are 0 while nothing is known, or what is known is old: then each host is as good as another.
+func (s *State) Load(now int64, host string) (out, coming float64) {
+	b := s.hosts[host]
+	if b == nil {
+		return 0, 0
 	}
-	var news []Fact
-	for _, f := range facts {
-		b := s.codes[f.code]
-		if b == nil {
-			continue
-		}
-		b.spread(now, &f.Fact)
-		f.Host = b.id
-		news = append(news, f.Fact)
+	c := b.circle
+	if s.keeper(now, c) == s.conf.Ordinal {
+		return float64(s.others(now, b)), c.rate * float64(delay) / 1e6
+	}
+	if !c.heard(now) {
+		return 0, 0
 	}
-	return news
+	return max(0, b.load-float64(b.mine)), c.rate * float64(c.every+delay) / 1e6
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -8,64 +8,101 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// A message is a head and facts, in network order:
+// Messages, in network order. Both begin with the version 1 and the time of sending 4 (milliseconds since 1970, the low
+// half), then
 //
-//	head  version 1, time of sending 4 (milliseconds since 1970, the low half)
-//	fact  host 3 (a hash of its id), age 2 (milliseconds from its position to the sending; all ones: not known),
-//	      role and share 1
+//	report  for each host: its code 3 (a hash of its id), age 2 (milliseconds from its position to the sending; all
+//	        ones: not known), role and share 1, the sender's attempts out 1, and begun since its last report 1
+//	digest  group 3 (a hash), until the next one 1 (20 ms), rate of attempts 1, its first bit set if a primary leads;
+//	        for each host: code 2, age 1 (4 ms; all ones: not known), load 5 bits and share 3 bits
 //
-// Hosts go by hashes, since a list's order differs between gateways that have been told different lists. Of two known
-// hosts with the same hash nothing is believed. A message is short, since most hold one fact and go to everybody.
+// Hosts go by hashes, since a list's order differs between gateways that have been told different lists. Ages are
+// rounded up: a position is never told to be further than it is.
 const (
 	// MaxMessage is the longest message that may be sent.
 	MaxMessage = 256
-	// MaxFacts is how many facts a message has room for.
-	MaxFacts = (MaxMessage - headSize) / factSize
 
-	version  = 1
+	reportVersion = 3 // 1 and 2 were facts and loads that went to everybody
+	digestVersion = 4
+	headSize      = 5
+	reportSize    = 8
+	digestHead    = headSize + 5
+	entrySize     = 4
+
 	unknown  = math.MaxUint16
-	headSize = 5
-	factSize = 6
+	ageStep  = 4_000
+	oldest   = math.MaxUint8 - 1
+	everyBy  = 20_000
+	maxEvery = oldest * everyBy
+	leading  = 0x80
+	most     = math.MaxUint8
 	// early is how far ahead of our clock a sender's may be. All gateways read the same clock, but read it at other
 	// moments; a position beyond that is no position, and to believe it would have a replica serve whatever it holds.
 	early = 50_000
 )
 
+var errMessage = errors.New("not a message of gateways")
+
 // code is a host on the wire, in 24 bits.
 func code(host string) uint32 { return uint32(xxhash.Sum64String(host) >> 40) }
 
-// coded is a fact as it is read: its host is known by its code.
-type coded struct {
+func head(now int64, version byte) []byte {
+	return binary.BigEndian.AppendUint32([]byte{version}, uint32(now/1000))
+}
+
+// open reads the head.
+func open(now int64, b []byte) (version byte, sent int64, body []byte, err error) {
+	if len(b) < headSize || len(b) > MaxMessage || b[0] != reportVersion && b[0] != digestVersion {
+		return 0, 0, nil, errMessage
+	}
+	// The time that ends in these bits and lies nearest to now: off by days is off by more than any message lives.
+	sent = now / 1000
+	sent += int64(int32(binary.BigEndian.Uint32(b[1:]) - uint32(sent)))
+	if sent*1000 > now+early {
+		return 0, 0, nil, errMessage
+	}
+	return b[0], sent * 1000, b[headSize:], nil
+}
+
+type report struct {
 	Fact
-	code uint32
+	code       uint32
+	out, begun int
 }
 
-// Encode writes a message. A position of more than 65 s ago, or one ahead of the clock, is left out; so are facts that
-// find no room.
-func Encode(now int64, facts []Fact) []byte {
-	b := make([]byte, 0, headSize+factSize*len(facts))
-	sent := now / 1000
-	b = append(b, version)
-	b = binary.BigEndian.AppendUint32(b, uint32(sent))
-	for _, f := range facts {
-		age := sent - f.Position/1000 // the position is rounded down
-		if f.Position <= 0 || age < 0 || age > unknown {
-			age = unknown
-		}
-		if len(b)+factSize > MaxMessage {
-			break
-		}
-		c := code(f.Host)
-		b = append(b, byte(c>>16), byte(c>>8), byte(c), byte(age>>8), byte(age), byte(f.Role)<<6|share(f))
+// appendReport writes of one host. A position of more than 65 s ago, or one ahead of the clock, is left out.
+func appendReport(b []byte, now int64, r *report) []byte {
+	age := now/1000 - r.Position/1000 // both rounded down: as of the sending that the head tells
+	if r.Position <= 0 || age < 0 || age > unknown {
+		age = unknown
 	}
-	return b
+	return append(b, byte(r.code>>16), byte(r.code>>8), byte(r.code), byte(age>>8), byte(age), byte(r.Role)<<6|packShare(r.Fact),
+		byte(min(r.out, most)), byte(min(r.begun, most)))
+}
+
+func readReport(sent int64, b []byte) (report, error) {
+	r := report{code: uint32(b[0])<<16 | uint32(b[1])<<8 | uint32(b[2]), out: int(b[6]), begun: int(b[7])}
+	if age := int64(binary.BigEndian.Uint16(b[3:])); age != unknown {
+		r.Position, r.Role = sent-age*1000, Role(b[5]>>6)
+	}
+	switch packed := b[5] & 63; packed {
+	case 0:
+	case failing:
+		r.Failing = true
+	default:
+		r.Share = math.Exp2((float64(packed) - 32) / 8)
+	}
+	if b[5]>>6 > byte(Replica) || r.Position < 0 {
+		return r, errMessage
+	}
+	return r, nil
 }
 
 // failing stands for errors in place of a share.
 const failing = 63
 
-// share packs a share into 6 bits: 0 if it is not known, else eight steps for each doubling, with 1 in the middle.
-func share(f Fact) byte {
+// packShare packs a share into 6 bits: 0 if it is not known, else eight steps for each doubling, with 1 in the middle.
+func packShare(f Fact) byte {
 	if f.Failing {
 		return failing
 	}
@@ -75,36 +112,96 @@
 	return byte(min(max(math.Round(8*math.Log2(f.Share))+32, 1), failing-1))
 }
 
-var errMessage = errors.New("not a message of gateways")
+type entry struct {
+	Fact
+	code uint16
+	load float64
+}
 
-// decode reads a message. Any part that can't be so makes all of it unreadable.
-func decode(now int64, b []byte) ([]coded, error) {
-	if len(b) < headSize || len(b) > MaxMessage || b[0] != version || (len(b)-headSize)%factSize != 0 {
-		return nil, errMessage
+type digest struct {
+	group   uint32
+	every   int64
+	rate    float64
+	entries []entry
+}
+
+func appendDigestHead(b []byte, group uint32, every int64, rate float64, leads bool) []byte {
+	r := byte(0)
+	if rate > 0 {
+		r = byte(min(max(math.Round(8*math.Log2(rate))+24, 1), leading-1)) // from an eighth a second on
 	}
-	// The time that ends in these bits and lies nearest to now: off by days is off by more than any message lives.
-	sent := now / 1000
-	sent += int64(int32(binary.BigEndian.Uint32(b[1:]) - uint32(sent)))
-	if sent*1000 > now+early {
-		return nil, errMessage
+	if leads {
+		r |= leading
+	}
+	return append(b, byte(group>>16), byte(group>>8), byte(group), byte(min((every+everyBy-1)/everyBy, oldest+1)), r)
+}
+
+// shares are what 3 bits stand for: nothing, then parts of the aim; the last means errors. They lie apart where the
+// module's limits do.
+var shares = [...]float64{0, 0.08, 0.18, 0.26, 0.36, 0.55, 1}
+
+const failingBand = 7
+
+func appendEntry(b []byte, now int64, code uint32, f Fact, load float64) []byte {
+	age := int64(oldest + 1)
+	if f.Position > 0 && f.Position <= now {
+		age = min((now/1000*1000-f.Position+ageStep-1)/ageStep, oldest+1)
+	}
+	share := byte(0)
+	if f.Failing {
+		share = failingBand
+	} else if f.Share > 0 {
+		share = 1
+		for i := 2; i < len(shares) && f.Share > math.Sqrt(shares[i-1]*shares[i]); i++ {
+			share = byte(i)
+		}
+	}
+	return append(b, byte(code>>8), byte(code), byte(max(age, 0)), packLoad(load)<<3|share)
+}
+
+// packLoad packs a count into 5 bits: exact up to 15, then in steps of 4.
+func packLoad(n float64) byte {
+	if n < 16 {
+		return byte(max(math.Round(n), 0))
+	}
+	return byte(min(16+math.Round((n-16)/4), 31))
+}
+
+func unpackLoad(b byte) float64 {
+	if b < 16 {
+		return float64(b)
+	}
+	return 16 + 4*float64(b-16)
+}
+
+func readDigest(sent int64, b []byte) (digest, error) {
+	if len(b) < digestHead-headSize || (len(b)-digestHead+headSize)%entrySize != 0 {
+		return digest{}, errMessage
+	}
+	d := digest{group: uint32(b[0])<<16 | uint32(b[1])<<8 | uint32(b[2]), every: int64(b[3]) * everyBy}
+	if r := b[4] &^ leading; r > 0 {
+		d.rate = math.Exp2((float64(r) - 24) / 8)
 	}
-	var facts []coded
-	for b = b[headSize:]; len(b) > 0; b = b[factSize:] {
-		f := coded{code: uint32(b[0])<<16 | uint32(b[1])<<8 | uint32(b[2])}
-		if age := int64(binary.BigEndian.Uint16(b[3:])); age != unknown {
-			f.Position, f.Role = (sent-age)*1000, Role(b[5]>>6)
+	leads := b[4]&leading != 0
+	for b = b[digestHead-headSize:]; len(b) > 0; b = b[entrySize:] {
+		e := entry{code: binary.BigEndian.Uint16(b), load: unpackLoad(b[3] >> 3)}
+		if b[2] <= oldest {
+			e.Position, e.Role = sent-int64(b[2])*ageStep, Replica
+			if leads {
+				e.Role = Primary
+			}
 		}
-		switch packed := b[5] & 63; packed {
-		case 0:
-		case failing:
-			f.Failing = true
+		leads = false
+		switch band := b[3] & 7; band {
+		case failingBand:
+			e.Failing = true
 		default:
-			f.Share = math.Exp2((float64(packed) - 32) / 8)
+			e.Share = shares[band]
 		}
-		if b[5]>>6 > byte(Replica) || f.Position < 0 {
-			return nil, errMessage
+		if e.Position < 0 {
+			return digest{}, errMessage
 		}
-		facts = append(facts, f)
+		d.entries = append(d.entries, e)
 	}
-	return facts, nil
+	return d, nil
 }
--- a/internal/lab/standin/host.go
+++ b/internal/lab/standin/host.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -26,6 +27,36 @@
 	conns   map[net.Conn]struct{}
 	wg      sync.WaitGroup
 	Writes  atomic.Int64
+
+	cores   chan struct{}
+	inside  atomic.Int32
+	arrived func(before int)
+}
+
+// Limit gives the host so many cores: requests beyond wait for one, and their work varies. arrived is told of each how
+// many were there before it. It is called before the first connection.
+func (h *Host) Limit(cores int, arrived func(before int)) {
+	h.cores, h.arrived = make(chan struct{}, cores), arrived
+}
+
+// toil takes the time of a request.
+func (h *Host) toil() {
+	if h.cores == nil {
+		time.Sleep(h.work)
+		return
+	}
+	h.arrived(int(h.inside.Add(1)) - 1)
+	h.cores <- struct{}{}
+	time.Sleep(time.Duration(rand.ExpFloat64() * float64(h.work)))
+	<-h.cores
+	h.inside.Add(-1)
+}
+
+// Connections is how many are open.
+func (h *Host) Connections() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.conns)
 }
 
 // NewHost listens; each request takes so much work, and a replica's data is so old.
@@ -127,7 +158,7 @@
 		case write && !h.primary.Load():
 			b = pgwire.AppendError(nil, pgwire.Error{Severity: "ERROR", Code: pgwire.CodeReadOnly, Message: "not the primary"})
 		default:
-			time.Sleep(h.work)
+			h.toil()
 			if write {
 				h.Writes.Add(1)
 			}
--- /dev/null
+++ b/internal/lab/tier/tier.go
@@ -0,0 +1,433 @@
+package tier
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"cloverrock/internal/lab/loopback"
+	"cloverrock/internal/lab/standin"
+)
+
+// Options of a run.
+type Options struct {
+	Program  string
+	Gateways int
+	Hosts    int // in groups of Members
+	Members  int
+	For      time.Duration
+	Seed     uint64
+	Plan     string
+	Use      float64 // part of what the hosts can do that is asked for
+	Policy   string  // "": the program as it is; "random": gateways tell one another nothing
+	Break    string  // "blind-herd": what is told leaves out how many others act on it
+	Log      func(format string, a ...any)
+}
+
+// Result of a run.
+type Result struct {
+	Gateways       int     `json:"gateways"`
+	Hosts          int     `json:"hosts"`
+	Seed           uint64  `json:"seed"`
+	Plan           string  `json:"plan"`
+	PlanHash       string  `json:"plan_hash"`
+	Policy         string  `json:"policy"`
+	Requests       int     `json:"requests"`
+	Lost           int     `json:"lost"` // no answer from a gateway that was neither stopped nor killed meanwhile
+	Disturbed      int     `json:"disturbed"`
+	InTime         float64 `json:"in_time"` // of all, by worth
+	Refused        int     `json:"refused"`
+	Spread         Spread  `json:"spread"`
+	PeerBytes      float64 `json:"peer_bytes_per_request"`
+	PeerMessages   int     `json:"peer_messages"`
+	PeerLost       int     `json:"peer_lost"`
+	CPU            float64 `json:"cpu_ms_per_request"`
+	Left           int     `json:"gateways_left"`
+	Died           int     `json:"gateways_died"` // by themselves
+	Events         []Event `json:"events"`
+	SettlingMS     int64   `json:"settling_ms"`
+	HerdsAtMost    int     `json:"herd_windows_at_most"`
+	IdleSecAllowed int     `json:"idle_host_seconds_at_most"`
+}
+
+const (
+	work     = 40 * time.Millisecond
+	cores    = 2
+	settling = 3 * time.Second // from the first request on: connections open, and what is told is known
+	slack    = time.Second     // after its time a request that has no answer is lost
+)
+
+// Run plays once. It ends only what it started.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	if o.Log == nil {
+		o.Log = func(string, ...any) {}
+	}
+	if o.Gateways < 1 || o.Members < 2 || o.Hosts < o.Members || o.For < 2*settling || o.Use <= 0 {
+		return nil, fmt.Errorf("a run wants a gateway, groups of two hosts, %v and some load", 2*settling)
+	}
+	events, err := MakePlan(o.Plan, o.Seed, o.Gateways, o.For)
+	if err != nil {
+		return nil, err
+	}
+	res := &Result{Gateways: o.Gateways, Seed: o.Seed, Plan: o.Plan, Policy: o.Policy, Events: events, SettlingMS: settling.Milliseconds()}
+	if res.PlanHash, err = Hash(events); err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "tier-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	t := &stage{Options: o, dir: dir, events: events, res: res}
+	defer t.end()
+	if err := t.open(); err != nil {
+		return nil, err
+	}
+	return res, t.play(ctx)
+}
+
+// stage is the processes and stand-ins of one run.
+type stage struct {
+	Options
+	dir      string
+	events   []Event
+	res      *Result
+	hosts    []*standin.Host
+	logs     []hostLog
+	mu       sync.Mutex // of the logs
+	began    time.Time
+	list     string
+	disco    *standin.Discovery
+	exchange *exchange
+	gates    []*gate
+	dead     time.Duration // processor time of processes that ended
+}
+
+// gate is one gateway.
+type gate struct {
+	listen, peer, config string
+	cmd                  *exec.Cmd
+	gone                 chan struct{}
+	killed               bool
+	hurt                 []span // when it was stopped or dead
+}
+
+type span struct{ from, to time.Time }
+
+func (t *stage) open() error {
+	var list []map[string]any
+	groups := t.Hosts / t.Members
+	t.res.Hosts = groups * t.Members
+	t.logs = make([]hostLog, t.res.Hosts)
+	for i := range t.res.Hosts {
+		h, err := standin.NewHost(fmt.Sprintf("s-%d", i), work, 15*time.Millisecond)
+		if err != nil {
+			return err
+		}
+		t.hosts = append(t.hosts, h)
+		t.logs[i].group = i / t.Members
+		h.Primary(i%t.Members == 0)
+		h.Limit(cores, func(before int) {
+			t.mu.Lock()
+			t.logs[i].all = append(t.logs[i].all, arrival{time.Since(t.began), before})
+			t.mu.Unlock()
+		})
+		rank := "copy"
+		if i%t.Members == 0 {
+			rank = "source"
+		}
+		list = append(list, map[string]any{"instanceId": h.ID, "hostPort": h.Address(), "cell": 1 + i/t.Members, "lifecycle": "SERVING", "rank": rank})
+	}
+	b, err := json.Marshal(map[string]any{"generation": 7, "reset": true, "instances": list})
+	if err != nil {
+		return err
+	}
+	t.list = string(b)
+	if t.disco, err = standin.NewDiscovery(); err != nil {
+		return err
+	}
+	t.disco.Tell(t.list)
+	free, err := loopback.Reserve(2 * t.Gateways)
+	if err != nil {
+		return err
+	}
+	var peers []string
+	for i := range t.Gateways {
+		t.gates = append(t.gates, &gate{listen: free[2*i], peer: free[2*i+1], config: filepath.Join(t.dir, fmt.Sprintf("%d.json", i))})
+		peers = append(peers, free[2*i+1])
+	}
+	var spoil func([]byte)
+	if t.Break == "blind-herd" {
+		spoil = blind
+	} else if t.Break != "" {
+		return fmt.Errorf("break %q: there is blind-herd", t.Break)
+	}
+	if t.exchange, err = newExchange(peers, t.Seed, spoil); err != nil {
+		return err
+	}
+	for i := range t.gates {
+		if err := t.configure(i); err != nil {
+			return err
+		}
+		if err := t.start(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// blind has a digest say that next to nothing comes, so that each gateway acts on it as if it were alone.
+func blind(b []byte) {
+	if len(b) > 9 && b[0] == 4 {
+		b[9] = b[9]&0x80 | 1
+	}
+}
+
+func (t *stage) configure(i int) error {
+	type m = map[string]any
+	g := t.gates[i]
+	var classes []m
+	for _, c := range standin.Classes {
+		repeat := "read_like"
+		if c.Write {
+			repeat = "non_idempotent"
+		}
+		classes = append(classes, m{"name": c.Name, "aimMs": c.Aim.Milliseconds(), "deadlineMs": c.Deadline.Milliseconds(),
+			"worth": c.Worth, "lateWorth": c.LatePart, "repeat": repeat, "group": "all", "windowMs": 5000})
+	}
+	conf := m{"name": fmt.Sprintf("n%d", i), "listen": g.listen, "discovery": t.disco.Address(), "seed": fmt.Sprintf("%x", t.Seed*1000+uint64(i)),
+		"limits": m{"memory_mb": 64, "sockets": 512}, "known": json.RawMessage(t.list),
+		"settings": m{"tickMs": 5.0, "classes": classes, "balancers": t.Gateways, "ordinal": i, "extra": m{"classRead": []string{"recent", "own_writes", "update"},
+			"stalenessBoundMs": []int{500, 0, 0}, "serverChecks": "none", "tokens": "client"}, "costs": m{"peer": 0.012},
+			"report":      m{"fields": []string{"x0", "x1"}, "source": "answers"},
+			"limits":      m{"cancel": true, "probes": true, "mayTell": true, "dialTimeoutMs": 250, "idleCloseMs": 30000, "maxAttempts": 10, "maxRetryAfterMs": 1000},
+			"obligations": m{"coldFrom": 0.25, "coldMs": 16000, "drainGraceMs": 1000, "fallMultiple": 4, "overloadForMs": 1500}}}
+	if t.Policy != "random" {
+		var peers []string
+		for _, c := range t.exchange.socks {
+			peers = append(peers, c.LocalAddr().String())
+		}
+		conf["peer_listen"], conf["peers"], conf["peers_all"] = g.peer, peers, t.exchange.all.LocalAddr().String()
+	}
+	b, err := json.Marshal(conf)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(g.config, b, 0o600)
+}
+
+func (t *stage) start(i int) error {
+	g := t.gates[i]
+	log, err := os.OpenFile(filepath.Join(t.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(t.Program, "serve")
+	cmd.Env, cmd.Stderr = append(os.Environ(), "EDGE_CONFIG="+g.config), log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no process outlives the run
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("gateway %d: %w", i, err)
+	}
+	g.cmd, g.gone, g.killed = cmd, make(chan struct{}), false
+	go func(gone chan struct{}) {
+		_ = cmd.Wait()
+		t.mu.Lock()
+		t.dead += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+		t.mu.Unlock()
+		close(gone)
+	}(g.gone)
+	return nil
+}
+
+// ready waits until all gateways take connections.
+func (t *stage) ready(ctx context.Context) error {
+	for i, g := range t.gates {
+		for {
+			c, err := net.DialTimeout("tcp4", g.listen, time.Second)
+			if err == nil {
+				c.Close()
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("gateway %d does not come up: %w", i, ctx.Err())
+			case <-g.gone:
+				return fmt.Errorf("gateway %d ended at its start", i)
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func (t *stage) play(ctx context.Context) error {
+	up, cancel := context.WithTimeout(ctx, 30*time.Second)
+	defer cancel()
+	if err := t.ready(up); err != nil {
+		return err
+	}
+	// What a request costs at a host, on the mean, and what the replicas and primaries of all groups can do.
+	rate := t.Use * float64(t.res.Hosts*cores) / work.Seconds()
+	load := &standin.Load{Address: t.gates[0].listen, Groups: t.res.Hosts / t.Members, Rate: rate, Seed: t.Seed}
+	for _, g := range t.gates[1:] {
+		load.Others = append(load.Others, g.listen)
+	}
+	t.Log("%d gateways, %d hosts, %.0f requests a second, plan %s %s", t.Gateways, t.res.Hosts, rate, t.Plan, t.res.PlanHash)
+	t.mu.Lock()
+	t.began = time.Now()
+	t.mu.Unlock()
+	run, stop := context.WithTimeout(ctx, t.For)
+	defer stop()
+	var wg sync.WaitGroup
+	for _, e := range t.events {
+		wg.Go(func() { t.carryOut(run, e) })
+	}
+	samples := load.Run(run)
+	wg.Wait()
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	t.judge(samples)
+	return nil
+}
+
+// carryOut has a fault come and go.
+func (t *stage) carryOut(ctx context.Context, e Event) {
+	g := t.gates[e.Gate]
+	if !wait(ctx, time.Until(t.began.Add(time.Duration(e.AtMS)*time.Millisecond))) {
+		return
+	}
+	from, stay := time.Now(), time.Duration(e.ForMS)*time.Millisecond
+	switch e.Fault {
+	case Stop:
+		_ = g.cmd.Process.Signal(syscall.SIGSTOP)
+		wait(ctx, stay)
+		_ = g.cmd.Process.Signal(syscall.SIGCONT)
+	case Kill:
+		t.mu.Lock()
+		g.killed = true
+		t.mu.Unlock()
+		_ = g.cmd.Process.Kill()
+		<-g.gone
+		wait(ctx, stay)
+		if err := t.start(e.Gate); err != nil {
+			t.Log("%v", err)
+		}
+	case Cut, Late, Lossy:
+		t.exchange.set(e.Gate, func(l *link) {
+			l.dumb, l.deaf, l.lossy, l.delay = e.From, e.To, e.Fault == Lossy, time.Duration(e.Delay)*time.Millisecond
+		})
+		wait(ctx, stay)
+		t.exchange.set(e.Gate, func(l *link) { *l = link{} })
+		return // what clients ask is to be answered all the same
+	}
+	t.mu.Lock()
+	g.hurt = append(g.hurt, span{from, time.Now().Add(100 * time.Millisecond)}) // and until it takes connections
+	t.mu.Unlock()
+}
+
+// wait pauses, and tells whether the run still goes on.
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (t *stage) judge(samples []standin.Sample) {
+	r := t.res
+	var earned, asked float64
+	for _, s := range samples {
+		r.Requests++
+		earned += s.Earned()
+		asked += s.Asked()
+		switch {
+		case s.Err == nil:
+		case errors.Is(s.Err, standin.ErrRefused):
+			r.Refused++
+		case slices.ContainsFunc(t.gates[s.Gate].hurt, func(h span) bool { return s.At.Before(h.to) && s.At.Add(s.Took).After(h.from) }):
+			r.Disturbed++
+		default:
+			r.Lost++
+		}
+	}
+	r.InTime = earned / max(asked, 1)
+	n := float64(max(r.Requests, 1))
+	var bytes int
+	r.PeerMessages, bytes, r.PeerLost = t.exchange.counts()
+	r.PeerBytes = float64(bytes) / n
+	var conns []int
+	for _, h := range t.hosts {
+		conns = append(conns, h.Connections())
+	}
+	for _, g := range t.gates {
+		select {
+		case <-g.gone:
+			r.Died++
+		default:
+		}
+		_ = g.cmd.Process.Kill()
+		<-g.gone
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.CPU = float64(t.dead.Milliseconds()) / n
+	var replicas []hostLog
+	for i, l := range t.logs {
+		if i%t.Members > 0 {
+			slices.SortFunc(l.all, func(a, b arrival) int { return int(a.at - b.at) })
+			replicas = append(replicas, l)
+		}
+	}
+	r.Spread = measure(replicas, settling, t.For)
+	slices.Sort(conns)
+	r.Spread.ConnectionsP50, r.Spread.ConnectionsMax = conns[len(conns)/2], conns[len(conns)-1]
+	r.HerdsAtMost = int(1.5*r.Spread.FairHerds) + 20
+}
+
+// Found names what must not be.
+func (r *Result) Found() (faults []string) {
+	for what, bad := range map[string]bool{
+		"requests were lost":                        r.Lost > 0,
+		"hosts were idle":                           r.Spread.IdleSeconds > r.IdleSecAllowed,
+		"more herds than chance and half as many":   r.Spread.HerdWindows > r.HerdsAtMost,
+		"gateways ended by themselves or were left": r.Died > 0 || r.Left > 0,
+	} {
+		if bad {
+			faults = append(faults, what)
+		}
+	}
+	slices.Sort(faults)
+	return faults
+}
+
+// end ends all that was started and is still there.
+func (t *stage) end() {
+	for _, g := range t.gates {
+		if g.cmd != nil {
+			_ = g.cmd.Process.Kill()
+			<-g.gone
+		}
+	}
+	if t.exchange != nil {
+		t.exchange.close()
+	}
+	if t.disco != nil {
+		t.disco.Close()
+	}
+	for _, h := range t.hosts {
+		h.Close()
+	}
+}
--- a/internal/lab/vast/vast.go
+++ b/internal/lab/vast/vast.go
@@ -204,9 +204,9 @@
 	return &d.res, nil
 }
 
-func (d *day) settings() balance.Settings {
+func (d *day) settings(i int) balance.Settings {
 	set := balance.Settings{Tick: ms, Probes: true, Cancel: true, MaxRetryAfter: sec, MaxAttempts: 10, DialTimeout: 250 * ms,
-		Carried: true, ColdFrom: 0.25, ColdFor: 16 * sec, FallMultiple: 4, FallFor: 1500 * ms, Gateways: d.o.Gateways, TellEarn: d.o.TellEarn}
+		Carried: true, ColdFrom: 0.25, ColdFor: 16 * sec, FallMultiple: 4, FallFor: 1500 * ms, Gateways: d.o.Gateways, Ordinal: i, TellEarn: d.o.TellEarn}
 	for _, c := range d.classes {
 		k := balance.Class{Aim: c.aim, Deadline: c.deadline, Worth: c.worth, Need: c.need, Window: 5 * sec, Bound: 500 * ms}
 		if c.need == balance.Update {
@@ -231,7 +231,7 @@
 
 func (d *day) start(i int) error {
 	g := d.gates[i]
-	r, err := balance.New(d.settings(), d.o.Seed*1000+uint64(i)+uint64(g.epoch)*7919)
+	r, err := balance.New(d.settings(i), d.o.Seed*1000+uint64(i)+uint64(g.epoch)*7919)
 	if err != nil {
 		return err
 	}
@@ -383,6 +383,15 @@
 		d.again(q, a.RetryAfter)
 	case balance.TellAction:
 		d.res.Told++
+		if a.Peer >= 0 {
+			d.res.TellBytes += float64(len(a.Data))
+			d.later(ms+int64(d.r.ExpFloat64()*10*float64(ms)), func() {
+				if d.gates[a.Peer].up {
+					d.tell(a.Peer, balance.Event{Kind: balance.PeerEvent, Peer: i, Data: a.Data})
+				}
+			})
+			return
+		}
 		d.res.TellBytes += float64(len(a.Data) * (len(d.gates) - 1))
 		d.later(ms+int64(d.r.ExpFloat64()*10*float64(ms)), func() {
 			for to, o := range d.gates {
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -20,6 +20,7 @@
 		Repeat, Group                                             string
 	}
 	Balancers int
+	Ordinal   *int // nil: not told
 	Costs     struct{ CrossZone, Peer float64 }
 	Extra     struct {
 		BaseTimeMs       float64
@@ -61,7 +62,10 @@
 		FallFor: us(o.Obligations.OverloadForMs),
 	}
 	if o.Limits.MayTell {
-		s.Gateways, s.TellEarn = o.Balancers, tellEarn(o.Costs.Peer)
+		s.Gateways, s.Ordinal, s.TellEarn = o.Balancers, -1, tellEarn(o.Costs.Peer)
+		if o.Ordinal != nil {
+			s.Ordinal = *o.Ordinal
+		}
 	}
 	for i, c := range o.Classes {
 		k := balance.Class{
