--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -239,6 +239,7 @@
 	for f.now < base+2000*ms {
 		i := int(f.now/ms/5) % 4
 		f.states[i].Learn(Fact{Host: name(0), Position: f.now - 3*ms, Role: Replica})
+		f.states[i].Out(name(0), 1-f.states[i].hosts[name(0)].out)
 		f.step()
 		for i, s := range f.states {
 			for _, h := range s.Ask(f.now) {
--- a/internal/gossip/keeper.go
+++ b/internal/gossip/keeper.go
@@ -16,6 +16,8 @@
 	least      = 40_000    // digests of a group are no closer: news are no fresher
 	calm       = 2         // a digest waits until requests have paid so many times its price, if nothing presses
 	press      = 5         // it is pressing after two of these parts of Within: positions grow too old to be used
+	askEarn    = 0.1       // hosts asked for each attempt at a replica: knowledge must not cost more than it brings
+	askBurst   = 8.0       // enough for all of a group at its start
 	unsure     = 1_000_000 // the rate of attempts is not known before: digests come as pressing ones do
 )
 
@@ -29,10 +31,11 @@
 	asked int64 // since when a report waits for a digest; 0 if none does
 	of    int   // whom it was sent
 
-	reported     bool  // as its keeper: there is something to tell
-	heardAt      int64 // when that was reported last
-	begun        int   // attempts reported since the last digest
-	since        int64 // the first report ever
+	reported     bool    // as its keeper: there is something to tell
+	heardAt      int64   // when that was reported last
+	asks         float64 // that may be named by Ask
+	begun        int     // attempts reported since the last digest
+	since        int64   // the first report ever
 	last, nextAt int64
 
 	rate  float64 // attempts at replicas in a second
@@ -48,7 +51,7 @@
 			return c
 		}
 	}
-	c := &circle{code: id, short: map[uint16]*book{}, order: order(id, s.conf.Gateways)}
+	c := &circle{code: id, asks: askBurst, short: map[uint16]*book{}, order: order(id, s.conf.Gateways)}
 	s.circles = append(s.circles, c)
 	s.groups[id] = c
 	return c
@@ -131,6 +134,7 @@
 	}
 	if b.best.Role != Primary { // reads go to one replica or another; what goes to the primary has no choice
 		c.begun += r.begun
+		c.asks = min(askBurst, c.asks+askEarn*float64(r.begun))
 	}
 	if b.count == nil {
 		b.count = make([]count, s.conf.Gateways)
@@ -161,7 +165,8 @@
 		}
 		for _, b := range c.books {
 			lag := max(b.seen-b.best.Position, 0)
-			if b.best.Role != Primary && now-b.seen > gap && now-b.asked > max(gap, min(lag, maxEvery)/4) {
+			if b.best.Role != Primary && now-b.seen > gap && now-b.asked > max(gap, min(lag, maxEvery)/4) && c.asks >= 1 {
+				c.asks--
 				b.asked = now
 				hosts = append(hosts, b.id)
 			}
--- a/internal/lab/vast/vast.go
+++ b/internal/lab/vast/vast.go
@@ -47,6 +47,9 @@
 	Seconds                  []Second
 	Overloads                int // hosts that were sent more than the rule on cold hosts allows
 	Requests                 int
+	// CV1s is the coefficient of variation of what replicas of a group got in a second, on the mean from the third second
+	// on; FairCV1s is what draws at random of as many would have had.
+	CV1s, FairCV1s float64
 }
 
 // Second is one second of it.
@@ -91,6 +94,7 @@
 	applied int64
 	next    int64       // serial number of the next completion
 	conns   map[int]int // idle connections by gateway
+	got     int         // attempts in this second
 }
 
 type attempt struct {
@@ -155,6 +159,7 @@
 	gates    []*gateway
 	live     map[int64]*request
 	next     int64
+	evened   int
 	res      Result
 }
 
@@ -189,6 +194,7 @@
 		}
 	}
 	d.later(0, d.arrive)
+	d.later(sec, d.even)
 	if o.OutagePart > 0 {
 		d.later(int64(o.OutageAt)*sec, d.outage)
 	}
@@ -201,9 +207,35 @@
 		d.now = e.at
 		e.call()
 	}
+	d.res.CV1s, d.res.FairCV1s = d.res.CV1s/float64(max(d.evened, 1)), d.res.FairCV1s/float64(max(d.evened, 1))
 	return &d.res, nil
 }
 
+// even reckons, each second, how evenly the replicas of each group were used.
+func (d *day) even() {
+	for g := range d.o.Groups {
+		var ns []float64
+		sum := 0.0
+		for _, h := range d.hosts[g*d.o.Members : (g+1)*d.o.Members] {
+			if h != d.primary[g] && h.up {
+				ns = append(ns, float64(h.got))
+				sum += float64(h.got)
+			}
+			h.got = 0
+		}
+		if n := float64(len(ns)); n > 1 && sum > 0 && d.now > zero+2*sec {
+			mean, square := sum/n, 0.0
+			for _, x := range ns {
+				square += (x - mean) * (x - mean)
+			}
+			d.res.CV1s += math.Sqrt(square/n) / mean
+			d.res.FairCV1s += math.Sqrt((1 - 1/n) / mean)
+			d.evened++
+		}
+	}
+	d.later(sec, d.even)
+}
+
 func (d *day) settings(i int) balance.Settings {
 	set := balance.Settings{Tick: ms, Probes: true, Cancel: true, MaxRetryAfter: sec, MaxAttempts: 10, DialTimeout: 250 * ms,
 		Carried: true, ColdFrom: 0.25, ColdFor: 16 * sec, FallMultiple: 4, FallFor: 1500 * ms, Gateways: d.o.Gateways, Ordinal: i, TellEarn: d.o.TellEarn}
@@ -458,6 +490,7 @@
 	q.attempts++
 	q.at = at
 	d.res.Attempts++
+	h.got++
 	if h.conns[gw] > 0 {
 		h.conns[gw]--
 	} else {
