Limit what all gateways together have out at a primary that answers late

Ruled out: the network (no dial failed), one gateway's fault (attempts come from all).

Cause: a gateway's own limit is one attempt at the least, so 315 gateways fill a primary's queue with writes that their clients have left when they come up, and whoever was turned away comes again within 0.1 s (balance.go, room and the rest after Full).

Change: internal/gossip/crowd.go learns from digests how many attempts all together may have out at a primary; room asks it. Writes beyond wait in the gateways. Of those that wait a part goes, the more the more room there is.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -335,10 +335,10 @@
 	return r.set.ColdFrom + (1-r.set.ColdFrom)*float64(age)/float64(r.set.ColdFor)
 }
 
-// room tells whether the host may be sent one more: it is well, within its limit of own attempts in flight,
-// and, while cold, within the budget that all routers together must keep.
+// room tells whether the host may be sent one more: it is well, within its limits of attempts out, ours and
+// that of all, and, while cold, within the budget that all routers together must keep.
 func (r *Router) room(h *host) bool {
-	if h.bound || r.now < h.restUntil || float64(len(h.out)) >= h.limit {
+	if h.bound || r.now < h.restUntil || float64(len(h.out)) >= h.limit || r.news.Full(r.now, h.id) {
 		return false
 	}
 	if h.cond != up && (h.cond != down || len(h.out) > 0 || r.now+h.backoff/2 < h.retryAt ||
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -88,8 +88,9 @@
 	held  int     // all of these
 	swept int64
 
-	load float64 // as the keeper told: attempts of all, this gateway's as it had reported them included
-	mine int
+	crowd crowd
+	load  float64 // as the keeper told: attempts of all, this gateway's as it had reported them included
+	mine  int
 }
 
 // samples are of how much of their aim answers took.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -316,6 +316,48 @@
 	}
 }
 
+// A primary whose answers take all of their aim is given less and less by all together, and nobody's attempts are shut
+// out for good: the less it holds, the more gateways may go. When it is calm again the limit goes.
+func TestBusyPrimaryIsGivenLess(t *testing.T) {
+	const gateways = 40
+	f := newFleet(gateways, 5)
+	full := func() (n int) {
+		for _, s := range f.states {
+			if s.Full(f.now, name(0)) {
+				n++
+			}
+		}
+		return n
+	}
+	run := func(d int64, share float64, out int) {
+		for end := f.now + d; f.now < end; f.step() {
+			for i, s := range f.states {
+				s.Out(name(0), min(1, max(0, out-i))) // so many gateways have one out
+				s.Out(name(1), 1-s.hosts[name(1)].out)
+			}
+			s := f.states[int(f.now/ms)%gateways]
+			s.Learn(Fact{Host: name(0), Position: f.now - ms, Role: Primary})
+			s.Sample(name(0), share, false)
+		}
+	}
+	run(1000*ms, 0.2, 30)
+	if n := full(); n != 0 {
+		t.Fatalf("%d gateways hold back from a primary that is well", n)
+	}
+	run(1500*ms, 1.5, 30)
+	if n := full(); n != gateways {
+		t.Errorf("%d of %d gateways hold back with 30 out at a primary that answers late", n, gateways)
+	}
+	run(200*ms, 1.5, 1)
+	if n := full(); n < 2 || n > gateways*2/3 {
+		t.Errorf("%d of %d gateways hold back with one out", n, gateways)
+	}
+	run(4000*ms, 0.1, 20)
+	if n := full(); n != 0 {
+		t.Errorf("%d gateways hold back long after", n)
+	}
+}
+
 // A report from before the sender's newer one, or from before a stall, does not change what is out.
 func TestLateReportsCountNothing(t *testing.T) {
 	f := newFleet(2, 5)
--- a/internal/gossip/keeper.go
+++ b/internal/gossip/keeper.go
@@ -94,6 +94,9 @@
 	return c.order[0]
 }
 
+// chance returns a number from 0 on and below 1.
+func (s *State) chance() float64 { return float64(s.rand.Below(1<<30)) / (1 << 30) }
+
 // heard tells whether a digest came lately.
 func (c *circle) heard(now int64) bool { return c.at != 0 && now-c.at <= max(forget, 2*c.every) }
 
@@ -228,6 +231,9 @@
 		} else {
 			b.told = f.Position
 		}
+		if b == primary {
+			b.crowd.learn(f.Share, load, s.chance())
+		}
 		b.all = samples{}
 		entries = appendEntry(entries, now, b.code, f, load)
 	}
@@ -310,6 +316,9 @@
 			b.load, b.mine = e.load, b.said
 		}
 		b.improve(now, e.Fact)
+		if followed && b.best.Role == Primary { // one that answers nothing more is told of without its role
+			b.crowd.learn(e.Share, e.load, s.chance())
+		}
 		if e.Position > 0 || e.Share > 0 || e.Failing {
 			e.Host = b.id
 			facts = append(facts, e.Fact)
