--- a/cmd/cloverrock-lab/main.go
+++ b/cmd/cloverrock-lab/main.go
@@ -2,13 +2,19 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
+
+	"cloverrock/internal/lab/chaos"
 )
 
 // errFound says that an experiment ran and found what must not be.
@@ -39,3 +45,20 @@
 	}
 	return os.WriteFile(path, b, 0o644)
 }
+
+// rehearsal is the context of a run with real processes, bounded in time, and the program that they run: the one beside
+// this, if none was named.
+func rehearsal(bound time.Duration, program *string) (context.Context, context.CancelFunc, error) {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := context.WithTimeout(ctx, bound)
+	end := func() { stop(); cancel() }
+	if *program != "" {
+		return ctx, end, nil
+	}
+	var err error
+	if *program, err = chaos.Beside(); err != nil {
+		end()
+		return nil, nil, err
+	}
+	return ctx, end, nil
+}
--- a/cmd/cloverrock-lab/restart.go
+++ b/cmd/cloverrock-lab/restart.go
@@ -1,16 +1,12 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
 
-	"cloverrock/internal/lab/chaos"
 	"cloverrock/internal/lab/restart"
 )
 
@@ -19,16 +15,11 @@
 	var path string
 	cmd := &cobra.Command{Use: "restart", Short: "Kill a gateway under load and compare its return with the store and without it", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-			defer cancel()
-			ctx, stop := context.WithTimeout(ctx, 2*time.Minute)
-			defer stop()
-			if o.Program == "" {
-				var err error
-				if o.Program, err = chaos.Beside(); err != nil {
-					return err
-				}
+			ctx, end, err := rehearsal(2*time.Minute, &o.Program)
+			if err != nil {
+				return err
 			}
+			defer end()
 			o.Log = func(format string, a ...any) { fmt.Fprintf(os.Stderr, format+"\n", a...) }
 			res, err := restart.Run(ctx, o)
 			if err != nil {
@@ -59,14 +50,11 @@
 	var each time.Duration
 	cmd := &cobra.Command{Use: "beside", Short: "Measure what the store costs the requests of the gateway that it runs beside", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-			defer cancel()
-			if o.Program == "" {
-				var err error
-				if o.Program, err = chaos.Beside(); err != nil {
-					return err
-				}
+			ctx, end, err := rehearsal(time.Duration(rounds)*2*(each+time.Minute), &o.Program)
+			if err != nil {
+				return err
 			}
+			defer end()
 			res, err := restart.RunBeside(ctx, o, rounds, each)
 			if err != nil {
 				return err
--- a/cmd/cloverrock-lab/tier.go
+++ b/cmd/cloverrock-lab/tier.go
@@ -1,17 +1,13 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
 
-	"cloverrock/internal/lab/chaos"
 	"cloverrock/internal/lab/tier"
 )
 
@@ -26,16 +22,11 @@
 	var path string
 	cmd := &cobra.Command{Use: "spread", Short: "Measure at the hosts how evenly the gateways' load falls", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-			defer cancel()
-			ctx, stop := context.WithTimeout(ctx, o.For+time.Minute)
-			defer stop()
-			if o.Program == "" {
-				var err error
-				if o.Program, err = chaos.Beside(); err != nil {
-					return err
-				}
+			ctx, end, err := rehearsal(o.For+time.Minute, &o.Program)
+			if err != nil {
+				return err
 			}
+			defer end()
 			o.Log = func(format string, a ...any) { fmt.Fprintf(os.Stderr, format+"\n", a...) }
 			res, err := tier.Run(ctx, o)
 			if err != nil {
--- a/internal/lab/restart/restart.go
+++ b/internal/lab/restart/restart.go
@@ -291,18 +291,9 @@
 	}
 	s.listen = free[0]
 	type m = map[string]any
-	var classes []m
-	for _, c := range standin.Classes {
-		repeat := "read_like"
-		if c.Write {
-			repeat = "non_idempotent"
-		}
-		classes = append(classes, m{"name": c.Name, "aimMs": c.Aim.Milliseconds(), "deadlineMs": c.Deadline.Milliseconds(),
-			"worth": c.Worth, "lateWorth": c.LatePart, "repeat": repeat, "group": "all", "windowMs": 5000})
-	}
 	b, err := json.MarshalIndent(m{"name": "a", "listen": s.listen, "discovery": discovery, "seed": fmt.Sprintf("%x", s.Seed),
 		"limits": m{"memory_mb": 192, "sockets": 1024}, "known": m{"generation": 7, "reset": true, "instances": s.list(s.hosts)},
-		"settings": m{"tickMs": 5.0, "classes": classes, "extra": m{"classRead": []string{"recent", "own_writes", "update"},
+		"settings": m{"tickMs": 5.0, "classes": standin.ClassSettings(), "extra": m{"classRead": []string{"recent", "own_writes", "update"},
 			"stalenessBoundMs": []int{500, 0, 0}, "serverChecks": "none", "tokens": "client"},
 			"report":      m{"fields": []string{"x0", "x1"}, "source": "answers"},
 			"limits":      m{"cancel": true, "probes": true, "dialTimeoutMs": 250, "idleCloseMs": 30000, "maxAttempts": 10, "maxRetryAfterMs": 1000},
--- a/internal/lab/standin/load.go
+++ b/internal/lab/standin/load.go
@@ -29,6 +29,20 @@
 	{Name: "zone-change", Share: 0.10, Aim: 500 * time.Millisecond, Deadline: 3 * time.Second, Worth: 3, LatePart: 0.7, Write: true},
 }
 
+// ClassSettings are the classes as a gateway's configuration has them.
+func ClassSettings() []map[string]any {
+	var all []map[string]any
+	for _, c := range Classes {
+		repeat := "read_like"
+		if c.Write {
+			repeat = "non_idempotent"
+		}
+		all = append(all, map[string]any{"name": c.Name, "aimMs": c.Aim.Milliseconds(), "deadlineMs": c.Deadline.Milliseconds(),
+			"worth": c.Worth, "lateWorth": c.LatePart, "repeat": repeat, "group": "all", "windowMs": 5000})
+	}
+	return all
+}
+
 // Sample is one request, counted from the time for which it was scheduled.
 type Sample struct {
 	At     time.Time
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -194,18 +194,9 @@
 func (t *stage) configure(i int) error {
 	type m = map[string]any
 	g := t.gates[i]
-	var classes []m
-	for _, c := range standin.Classes {
-		repeat := "read_like"
-		if c.Write {
-			repeat = "non_idempotent"
-		}
-		classes = append(classes, m{"name": c.Name, "aimMs": c.Aim.Milliseconds(), "deadlineMs": c.Deadline.Milliseconds(),
-			"worth": c.Worth, "lateWorth": c.LatePart, "repeat": repeat, "group": "all", "windowMs": 5000})
-	}
 	conf := m{"name": fmt.Sprintf("n%d", i), "listen": g.listen, "discovery": t.disco.Address(), "seed": fmt.Sprintf("%x", t.Seed*1000+uint64(i)),
 		"limits": m{"memory_mb": 64, "sockets": 512}, "known": json.RawMessage(t.list),
-		"settings": m{"tickMs": 5.0, "classes": classes, "balancers": t.Gateways, "ordinal": i, "extra": m{"classRead": []string{"recent", "own_writes", "update"},
+		"settings": m{"tickMs": 5.0, "classes": standin.ClassSettings(), "balancers": t.Gateways, "ordinal": i, "extra": m{"classRead": []string{"recent", "own_writes", "update"},
 			"stalenessBoundMs": []int{500, 0, 0}, "serverChecks": "none", "tokens": "client"}, "costs": m{"peer": 0.012},
 			"report":      m{"fields": []string{"x0", "x1"}, "source": "answers"},
 			"limits":      m{"cancel": true, "probes": true, "mayTell": true, "dialTimeoutMs": 250, "idleCloseMs": 30000, "maxAttempts": 10, "maxRetryAfterMs": 1000},
