--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -126,8 +126,8 @@
 	rand    random.Source
 	hosts   map[string]*book
 	codes   map[uint32]*book // nil where two hosts share a code: nothing is believed of either
-	circles []*circle
-	groups  map[uint32]*circle // by code, as with hosts
+	circles []*circle          // in the order in which they came, so that the same calls give the same messages
+	groups  map[uint32]*circle // the same by code
 	dead    map[int]int64      // gateways that did not answer as keepers, until when they are passed over
 	due     []*book
 	next    int64 // when reports may go out again
--- a/internal/gossip/keeper.go
+++ b/internal/gossip/keeper.go
@@ -46,10 +46,8 @@
 // circle returns the group's, made when first asked for.
 func (s *State) circle(group int64) *circle {
 	id := uint32(xxhash.Sum64String("group "+strconv.FormatInt(group, 10)) >> 40)
-	for _, c := range s.circles {
-		if c.code == id { // two groups with one code share a keeper; their hosts are told apart by their own codes
-			return c
-		}
+	if c := s.groups[id]; c != nil { // two groups with one code share a keeper; hosts are told apart by their own codes
+		return c
 	}
 	c := &circle{code: id, asks: askBurst, short: map[uint16]*book{}, order: order(id, s.conf.Gateways)}
 	s.circles = append(s.circles, c)
