Format the fields of gossip's state

Cause: the comments of two fields were left unaligned by the last change, which the format check refuses. Change: gofmt. Result: nothing is listed by gofmt; vet and the tests of gossip and balance pass.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -125,7 +125,7 @@
 	conf    Config
 	rand    random.Source
 	hosts   map[string]*book
-	codes   map[uint32]*book // nil where two hosts share a code: nothing is believed of either
+	codes   map[uint32]*book   // nil where two hosts share a code: nothing is believed of either
 	circles []*circle          // in the order in which they came, so that the same calls give the same messages
 	groups  map[uint32]*circle // the same by code
 	dead    map[int]int64      // gateways that did not answer as keepers, until when they are passed over
