Budget cold hosts by work, and keep long reads to few replicas

Cause, seen on the second deployment with the program unchanged. Third, replicas that had lagged when last heard had nothing out for 10 s and more: nothing asked them again. Fourth, limits stood at one attempt of each of three gateways at hosts of four cores.

Change: the budget counts a class's work against the usual, and long reads need all of it; long reads of any age go to as few replicas as their part of the work asks for, the same at every gateway; old knowledge of a lag is tried again where hosts check; the least limit goes by the number of gateways.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,6 +24,7 @@
 	findEvery    = 5    // upkeeps between probes while a group has no known primary; reports are no fresher
 	backoffLimit = 32   // a dead host is probed ever less often, up to so many times the pace
 	firstLimit   = 4.0  // in-flight attempts granted to a host of which nothing is known
+	together     = 5.5  // all routers' limits come to so much at the least: less leaves cores of a host idle
 	lowShare     = 0.28 // a host whose answers take less of their aim than this may be given more at once
 	openWeight   = 16.0 // how much more often a host is drawn that we have a connection to
 	spareShare   = 0.3  // above this a part of reads is kept from a host, all of them at 1
@@ -39,7 +40,7 @@
 	retryBurst   = 20.0 // what a calm time saves up for a crash
 	probeEarn    = 2.0  // probes for positions and of dead hosts, for each first attempt
 	probeBurst   = 10.0 // enough for a look at every member of a few groups
-	lostAfter    = 8.0  // an attempt is lost after its usual time and so many deviations
+	heavy        = 2.0  // a read of so many times the usual work needs all of it in a cold host's budget
 	failing      = 0.25 // a host with this share of errors gets a read only if the other one drawn has it
 	errsKeep     = 0.8  // of that share is kept a second, so that it is tried again
 	tokenAge     = 10e6 // session commits are kept for this long at least, then folded into one floor
@@ -104,37 +105,38 @@
 
 // request is one that we owe a final answer, or whose last attempt is still out.
 type request struct {
-	id, key              int64
-	kind, late, ranZone  int
-	class                *Class
-	group                *group
-	aimAt, until, halfAt int64   // halfAt: half of its time has passed
-	luck                 float64 // 0 to 1: of two reads the one with less is sent on
-	need                 int64   // OwnWrite: position that shows the session's writes
-	attempts, try        int
-	at, last             *host // where its attempt is out; where it failed last
-	sentAt, askUntil     int64 // when it was sent; until when it waits for a position asked for
-	ranAt                int64 // sending of the first attempt that may have run; 0 if none
-	hasKey, done, dials  bool  // dials: its attempt needed a new connection
-	met                  bool  // a host has had it
-	spared               bool  // a host was spared it
-	judged               int   // halves of its aim that its attempt was seen to take before its end
+	id, key               int64
+	kind, late, ranZone   int
+	class                 *Class
+	group                 *group
+	aimAt, until, halfAt  int64   // halfAt: half of its time has passed
+	luck                  float64 // 0 to 1: of two reads the one with less is sent on
+	need                  int64   // OwnWrite: position that shows the session's writes
+	attempts, try, judged int     // judged: halves of its aim that its attempt took while it is out
+	at, last              *host   // where its attempt is out; where it failed last
+	sentAt, askUntil      int64   // when it was sent; until when it waits for a position asked for
+	ranAt                 int64   // sending of the first attempt that may have run; 0 if none
+	hasKey, done, dials   bool    // dials: its attempt needed a new connection
+	met, spared           bool    // a host has had it; one was spared it
 }
 
 // Router decides for one router. It is not safe for concurrent use.
 type Router struct {
-	set     Settings
-	now     int64
-	rand    random.Source
-	started bool
-	hosts   map[string]*host
-	order   []*host  // all hosts, sorted by id
-	groups  []*group // sorted by id
-	reqs    map[int64]*request
-	cost    []float64 // time that an attempt of each class takes, on the mean
-	acts    []Action
+	set       Settings
+	now       int64
+	rand      random.Source
+	started   bool
+	hosts     map[string]*host
+	order     []*host  // all hosts, sorted by id
+	groups    []*group // sorted by id
+	reqs      map[int64]*request
+	cost      []float64 // time that an attempt of each class takes, on the mean
+	usual     float64   // the same of all requests
+	longShare float64   // part of all work that is long reads that bear any age
+	acts      []Action
 
 	keep            int64   // how long idle connections are kept
+	least           float64 // limit of own attempts out that no cut goes below
 	asked, perHost  float64 // requests in this second, and for each host and second of late
 	ratedAt         int64
 	retries, probes float64 // budgets
@@ -155,6 +157,7 @@
 		set: set, rand: random.Source(seed), hosts: map[string]*host{},
 		reqs: map[int64]*request{}, tokens: [2]map[int64]int64{{}, {}},
 		retries: retryBurst, probes: probeBurst, keep: keepIdle, probeRTT: float64(set.Tick),
+		least: min(max(1, together/float64(cmp.Or(set.Gateways, 6))), firstLimit), // 6: one each of many
 	}
 	tell := gossip.Config{Gateways: set.Gateways, Ordinal: set.Ordinal, Earn: set.TellEarn}
 	for _, c := range set.Classes {
@@ -162,6 +165,7 @@
 			tell.Within = max(tell.Within, c.Bound)
 		}
 		r.cost = append(r.cost, float64(c.Aim))
+		r.usual += float64(c.Aim) / float64(len(set.Classes))
 		if c.Aim <= 0 || c.Deadline <= 0 {
 			return nil, errors.New("balance: a class needs a positive Aim and Deadline")
 		}
@@ -246,14 +250,13 @@
 	}
 	r.askWait, r.askAt = 0, 0
 	seen := map[string]bool{}
-	for i := range ev.Entries {
-		e := &ev.Entries[i]
+	for _, e := range ev.Entries {
 		seen[e.Host] = true
 		h := r.hosts[e.Host]
 		if h == nil && e.Phase == Gone {
 			continue
 		} else if h == nil {
-			h = r.addHost(e)
+			h = r.addHost(&e)
 		}
 		h.zone, h.phase = e.Zone, e.Phase
 		if born := min(e.Born, r.now); born > h.born { // a start in the future is no reason to wait for it
@@ -282,12 +285,16 @@
 }
 
 func (r *Router) addHost(e *Entry) *host {
-	g := r.groupOf(e.Group)
+	i, known := r.findGroup(e.Group)
+	if !known {
+		r.groups = slices.Insert(r.groups, i, &group{id: e.Group})
+	}
+	g := r.groups[i]
 	h := &host{id: e.Host, group: g, limit: firstLimit}
 	r.hosts[h.id] = h
 	r.news.Add(h.id, e.Group)
 	byID := func(a, b *host) int { return strings.Compare(a.id, b.id) }
-	i, _ := slices.BinarySearchFunc(r.order, h, byID)
+	i, _ = slices.BinarySearchFunc(r.order, h, byID)
 	r.order = slices.Insert(r.order, i, h)
 	i, _ = slices.BinarySearchFunc(g.members, h, byID)
 	g.members = slices.Insert(g.members, i, h)
@@ -298,16 +305,7 @@
 }
 
 func (r *Router) findGroup(id int64) (int, bool) {
-	byID := func(g *group, id int64) int { return cmp.Compare(g.id, id) }
-	return slices.BinarySearchFunc(r.groups, id, byID)
-}
-
-func (r *Router) groupOf(id int64) *group {
-	i, known := r.findGroup(id)
-	if !known {
-		r.groups = slices.Insert(r.groups, i, &group{id: id})
-	}
-	return r.groups[i]
+	return slices.BinarySearchFunc(r.groups, id, func(g *group, k int64) int { return cmp.Compare(g.id, k) })
 }
 
 // bind notes whether the drain rule forbids the host. Where only draining binds, gone is no proof.
@@ -335,9 +333,9 @@
 	return r.set.ColdFrom + (1-r.set.ColdFrom)*float64(age)/float64(r.set.ColdFor)
 }
 
-// room tells whether the host may be sent one more: it is well, within its limits of attempts out, ours and
-// that of all, and, while cold, within the budget that all routers together must keep.
-func (r *Router) room(h *host) bool {
+// room tells whether the host may be sent the request: it is well, within its limits of attempts out, our own
+// and that of all, while cold within the budget that all routers together must keep, and not to be spared.
+func (r *Router) room(q *request, h *host) bool {
 	if h.bound || r.now < h.restUntil || float64(len(h.out)) >= h.limit || r.news.Full(r.now, h.id) {
 		return false
 	}
@@ -351,11 +349,20 @@
 		most := max(1, rate*float64(r.set.FallFor)/4e6)
 		h.credit = min(most, h.credit+rate*float64(r.now-h.earned)/1e6)
 		h.earned = r.now
-		return h.credit >= 1
+		if h.credit < 1 || r.price(q) > heavy && q.class.Need != Update && h.credit < r.price(q) {
+			return false
+		}
 	}
-	return true
+	// Of many routers each has too few out for its limit to bind, so each leaves out a part of its reads.
+	spare := q.class.Need != Update && q.luck*(1-spareShare) > 1-h.share
+	q.spared = q.spared || spare
+	return !spare
 }
 
+// price is what a request takes of a cold host's budget: one, or more where its class takes longer than most.
+func (r *Router) price(q *request) float64 { return max(1, r.cost[q.kind]/r.usual) }
+func (r *Router) long(q *request) bool     { return q.class.Need == Loose && r.price(q) > heavy }
+
 // alive notes a sign of life. A host that was dead is cold now, even if the list has not said so yet.
 func (r *Router) alive(h *host) {
 	h.heard, h.quietFrom, h.backoff, h.again = r.now, r.now, 0, false
@@ -409,14 +416,6 @@
 	}
 }
 
-// lost tells whether an attempt's connection has fallen silent, by all appearance: it takes many times what
-// such attempts take, and the host has answered others since. That says nothing of how busy the host is.
-func (r *Router) lost(h *host, q *request) bool {
-	usual := max(h.lat, r.cost[q.kind])
-	age := float64(r.now - q.sentAt)
-	return h.cond == up && h.lat != 0 && age > usual+lostAfter*h.dev && float64(r.now-h.heard) < age/2
-}
-
 // measure learns how long the host takes and how much it may be given at once: the limit grows while answers
 // take little of their aim, and is cut when they take much of it. An attempt that ran out of time counts
 // as one that took all of its aim: else a host would be judged by its quick answers alone, and never spared.
@@ -425,9 +424,6 @@
 	t := float64(took)
 	share := t / float64(q.class.Aim)
 	if !served {
-		if r.lost(h, q) {
-			return
-		}
 		share = max(share, 1)
 	} else {
 		mix(&h.lat, t, smooth)
@@ -444,7 +440,7 @@
 	h.share += smoothShare * (min(share, 1) - h.share)
 	switch {
 	case h.share > highShare && r.now-h.cutAt > int64(h.lat):
-		h.limit, h.cutAt = max(1, h.limit*cut), r.now
+		h.limit, h.cutAt = max(r.least, h.limit*cut), r.now
 	case h.share < lowShare && float64(len(h.out)+1) >= h.limit:
 		h.limit += 1 / h.limit
 	}
@@ -561,6 +557,10 @@
 	r.retries = min(retryBurst, r.retries+retryEarn)
 	r.probes = min(probeBurst, r.probes+probeEarn)
 	r.asked++
+	mix(&r.usual, r.cost[q.kind], smooth*smooth/5) // no faster than perHost
+	if r.longShare *= 1 - smooth*smooth; r.long(q) {
+		r.longShare += smooth * smooth * r.price(q)
+	}
 	q.luck = r.chance()
 	r.reqs[q.id] = q
 	r.hold(q)
@@ -586,16 +586,13 @@
 }
 
 func (r *Router) before(a, b *request) int {
-	worth := cmp.Compare(r.value(b.kind), r.value(a.kind))
+	worth := cmp.Compare(b.class.Worth/r.cost[b.kind], a.class.Worth/r.cost[a.kind]) // for the time taken
 	if a.late > 0 && b.late > 0 {
 		return cmp.Or(worth, cmp.Compare(a.until, b.until))
 	}
 	return cmp.Or(cmp.Compare(a.late, b.late), worth, cmp.Compare(b.aimAt, a.aimAt))
 }
 
-// value is what a request of the class earns for the time that the class takes of late.
-func (r *Router) value(kind int) float64 { return r.set.Classes[kind].Worth / r.cost[kind] }
-
 // dispatch sends what can be sent of the requests that wait.
 func (r *Router) dispatch(g *group) {
 	noWrite, misfits := false, 0
@@ -621,7 +618,7 @@
 		return r.reader(q)
 	}
 	h := q.group.primary
-	if h == nil || !r.room(h) || q.ranAt != 0 && q.class.Scope == ScopeZone && h.zone != q.ranZone {
+	if h == nil || !r.room(q, h) || q.ranAt != 0 && q.class.Scope == ScopeZone && h.zone != q.ranZone {
 		return nil
 	}
 	return h
@@ -637,7 +634,7 @@
 	h.out = append(h.out, q)
 	r.news.Out(h.id, len(h.out))
 	if h.cold {
-		h.credit--
+		h.credit -= r.price(q)
 	}
 	r.act(Action{Kind: SendAction, Request: q.id, Host: h.id})
 }
@@ -668,6 +665,9 @@
 	case Latest:
 		return r.primaryFor(q)
 	}
+	// Long reads that bear any age go to as few replicas as their part of all work asks for, the same for all
+	// routers: one may keep its host from applying the log, and spread over all they leave none fresh.
+	long, few := r.long(q), max(1, int(r.longShare*float64(len(g.members)-2)))
 	var a, b *host
 	ka, kb, known, busy := 0.0, 0.0, false, false
 	for _, m := range g.members {
@@ -675,11 +675,19 @@
 			continue
 		}
 		suffices := m.pos >= need
-		if !r.room(m) || r.spares(q, m) {
+		if room := r.room(q, m); long && m.cond == up && !m.bound && !m.cold && m.errs <= failing {
+			if few--; room {
+				return m
+			} else if few == 0 {
+				return nil
+			}
+			continue
+		} else if !room {
 			busy = busy || suffices && m.cond == up // to ask others would tell nothing of it
 			continue
 		}
-		if !suffices && (known || !r.set.HostsCheck || q.attempts > 2 || r.now-(m.posAt-m.pos) < need) {
+		if !suffices && (known || !r.set.HostsCheck || q.attempts > 2 || r.now-(m.posAt-m.pos) < need &&
+			r.now-m.posAt < 2*r.pace()) {
 			continue
 		}
 		if suffices && !known {
@@ -731,14 +739,6 @@
 	return r.now < q.askUntil && slices.ContainsFunc(q.group.members, func(m *host) bool { return m.probing })
 }
 
-// spares tells whether a read is not to burden a host whose answers take much of their aim: of many routers
-// each has too few attempts out for its own limit to bind, so each leaves out a part of its reads.
-func (r *Router) spares(q *request, h *host) bool {
-	spare := q.luck*(1-spareShare) > 1-h.share
-	q.spared = q.spared || spare
-	return spare
-}
-
 // lessBusy compares two hosts. One that mostly fails is quick at it, and would draw the traffic of all.
 func (r *Router) lessBusy(a, b *host) bool {
 	if (a.errs > failing) != (b.errs > failing) {
@@ -761,7 +761,7 @@
 // primaryFor gives a read to the primary if it was seen as one; one that is only guessed may hold anything.
 func (r *Router) primaryFor(q *request) *host {
 	h := q.group.primary
-	if h == nil || !h.been || h.role == Replica || !r.room(h) || r.spares(q, h) {
+	if h == nil || !h.been || h.role == Replica || !r.room(q, h) {
 		return nil
 	}
 	return h
@@ -853,8 +853,7 @@
 	if !unrun && q.ranAt == 0 {
 		q.ranAt, q.ranZone = q.sentAt, q.last.zone
 	}
-	again := unrun || r.retries >= 1 && q.class.Repeat != Unsafe
-	if !again || q.attempts >= r.set.MaxAttempts {
+	if !unrun && (r.retries < 1 || q.class.Repeat == Unsafe) || q.attempts >= r.set.MaxAttempts {
 		r.giveUp(q)
 		return
 	}
--- /dev/null
+++ b/balance/work_test.go
@@ -0,0 +1,132 @@
+package balance
+
+import "testing"
+
+// unequal is a deployment whose reads of any age take fifteen times the work of others.
+func unequal() Settings {
+	set := testSettings()
+	set.HostsCheck, set.Gateways = true, 3
+	set.Classes[loose].Aim, set.Classes[loose].Deadline = 6000*ms, 12000*ms
+	return set
+}
+
+// A cold host's budget is of work: long reads, each a request like any other, pushed hosts over while it counted requests.
+func TestColdHostIsPacedByWork(t *testing.T) {
+	g := readyRig(t, unequal())
+	work := map[string]float64{}
+	serve := func(d int64, every int64) { // 200 requests a second, one of so many a long one, all answered at once
+		for end := g.now + d; g.now < end; {
+			g.now += 5 * ms
+			acts := g.do(Event{Kind: TimerEvent})
+			class := recent
+			if g.next%every == 0 {
+				class = loose
+			}
+			_, more := g.ask(class)
+			for acts = append(acts, more...); len(acts) > 0; acts = acts[1:] {
+				q := g.r.reqs[acts[0].Request]
+				if acts[0].Kind != SendAction || q == nil || q.at == nil {
+					continue
+				}
+				took := 20 * ms
+				if q.kind == loose {
+					took *= 15
+				}
+				work[q.at.id] += float64(took)
+				acts = append(acts, g.do(Event{Kind: OutcomeEvent, Request: q.id, Attempt: q.try, Host: q.at.id, Result: Served,
+					Role: q.at.role, Position: g.now, Took: took, Over: true})...)
+			}
+		}
+	}
+	serve(3000*ms, 10)
+	warm := (work["a"] + work["b"] + work["c"]) / 3 / 3 // a host and second
+	clear(work)
+	e := trio()
+	for i := range e {
+		e[i].Primary, e[i].Born = false, g.now
+	}
+	g.do(Event{Kind: ListEvent, Entries: e})
+	serve(1000*ms, 1)
+	for h, w := range work {
+		if most := warm * (g.r.set.ColdFrom + 0.1) * g.r.set.FallMultiple; w > most {
+			t.Errorf("cold %s took %.0f ms of work in a second, %.0f at most", h, w/1e3, most/1e3)
+		}
+	}
+	if serve(1000*ms, 10); work["b"]+work["c"] == 0 {
+		t.Error("cold hosts get no short reads either")
+	}
+}
+
+// A long read may keep a replica from applying the log: all routers give them to the same one, and the others stay fresh.
+// Short ones of any age, and long ones where that replica is gone, go where there is room.
+func TestLongReadsKeepToOneReplica(t *testing.T) {
+	for seed := range uint64(8) {
+		set := unequal()
+		g := readyRig(t, set)
+		g.r.rand.Below(int64(seed + 1))
+		for range 20 {
+			g.now += 100 * ms
+			for range 9 { // what is long shows beside the others
+				id, acts := g.ask(recent)
+				g.answer(id, sentTo(acts, id), Served, Replica, g.now)
+			}
+			id, acts := g.ask(loose)
+			if h := sentTo(acts, id); h != "b" {
+				t.Fatalf("a long read went to %q", h)
+			}
+			g.answer(id, "b", Served, Replica, g.now)
+		}
+		g.do(Event{Kind: ListEvent, Entries: []Entry{{Host: "b", Phase: Draining, Weight: 1}}})
+		if id, acts := g.ask(loose); sentTo(acts, id) != "c" {
+			t.Fatal("the next replica does not take the long reads over")
+		}
+	}
+	set := unequal()
+	set.Classes[loose].Aim = 300 * ms
+	g := readyRig(t, set)
+	sent := map[string]int{}
+	for range 100 {
+		g.now += 10 * ms
+		id, acts := g.ask(loose)
+		sent[sentTo(acts, id)]++
+		g.answer(id, sentTo(acts, id), Served, Replica, g.now)
+	}
+	if sent["b"] < 20 || sent["c"] < 20 {
+		t.Errorf("short reads: %v", sent)
+	}
+}
+
+// Where hosts check reads, one that lagged when it was last heard is tried again: else nothing would tell that it caught up.
+func TestReplicaThatLaggedIsTriedAgain(t *testing.T) {
+	g := newRig(t, unequal(), trio()...)
+	g.reportAll(g.now - 5000*ms)
+	if id, acts := g.ask(recent); sentTo(acts, id) != "a" {
+		t.Fatal("a replica known to lag was sent a read")
+	}
+	g.now += 300 * ms
+	if id, acts := g.ask(recent); sentTo(acts, id) != "b" && sentTo(acts, id) != "c" {
+		t.Fatal("what is known is old, and no replica was tried")
+	}
+}
+
+// Few routers must each be able to have more than one attempt out, or a host's cores stand idle; of many, or of a number
+// not known, one each is enough.
+func TestLeastLimitGoesByTheNumberOfRouters(t *testing.T) {
+	for routers, want := range map[int]int{0: 1, 1: 4, 2: 3, 3: 2, 80: 1, 1000: 1} {
+		set := testSettings()
+		set.Gateways = routers
+		g := readyRig(t, set)
+		h := g.r.hosts["a"]
+		for range 100 {
+			g.r.now += 1000 * ms
+			g.r.judge(h, 1)
+		}
+		may := 0
+		for q := (&request{class: &set.Classes[unsafe]}); g.r.room(q, h); may++ {
+			h.out = append(h.out, q)
+		}
+		if may != want {
+			t.Errorf("%d routers: %d attempts of each at a crowded host, want %d", routers, may, want)
+		}
+	}
+}
