Try a replica that lagged again after as long as its lag was

The trial after 0.2 s, whatever the lag, asks the replica of the long reads again and again.

Change: the trial waits as long as the lag was when it was last heard, 0.2 s at the least. Other deployments, where hosts do not check, are untouched.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -687,7 +687,7 @@
 			continue
 		}
 		if !suffices && (known || !r.set.HostsCheck || q.attempts > 2 || r.now-(m.posAt-m.pos) < need &&
-			r.now-m.posAt < 2*r.pace()) {
+			r.now-m.posAt < max(2*r.pace(), m.posAt-m.pos)) {
 			continue
 		}
 		if suffices && !known {
