Pass over a keeper that cannot hear, and have the rig find herds and fixed subsets

A keeper that can't hear, or hears all a second late, goes on telling of what it has seen itself; each digest answers those who report to it, so nobody passes it over. Where it reports elsewhere, that alone took it back among the candidates. A test of 30 gateways shows it: 1.8 s after the cut a host was known as of 1.8 s ago.

Change: a keeper that has heard nothing sent within the bound of reads tells nothing (deaf), is passed over, and taken back by its first digest alone.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -131,6 +131,7 @@
 	dead    map[int]int64      // gateways that did not answer as keepers, until when they are passed over
 	due     []*book
 	next    int64 // when reports may go out again
+	newest  int64 // sending of the newest message that was heard
 
 	dropped, complained int // messages that could not be read, and how many of these Complaint has told
 	complainedAt        int64
@@ -277,11 +278,12 @@
 	}
 	kind, sent, body, err := open(now, data)
 	if err == nil && from >= 0 && from < s.conf.Gateways {
-		delete(s.dead, from)
+		s.newest = max(s.newest, sent)
 		var facts []Fact
 		if kind == reportVersion {
 			facts, err = s.hearReport(now, sent, from, body)
 		} else {
+			delete(s.dead, from) // who can't hear reports as well, but tells nothing
 			facts, err = s.hearDigest(now, sent, from, body)
 		}
 		if err == nil {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -29,6 +29,7 @@
 	bytes   int
 	stopped map[int]bool
 	lose    func(from, to int) bool
+	late    map[int]int64      // what comes to a gateway takes so much longer
 	knows   []map[string]int64 // positions that were heard, by gateway
 }
 
@@ -42,7 +43,7 @@
 
 // newFleet has hosts in groups of five.
 func newFleet(gateways, hosts int) *fleet {
-	f := &fleet{now: base, lose: func(int, int) bool { return false }, stopped: map[int]bool{}}
+	f := &fleet{now: base, lose: func(int, int) bool { return false }, stopped: map[int]bool{}, late: map[int]int64{}}
 	for i := range gateways {
 		s := New(conf(gateways, i), uint64(i)+1)
 		for h := range hosts {
@@ -88,7 +89,7 @@
 					f.bytes += len(m.Data)
 				}
 				if o != i && !f.lose(i, o) {
-					f.flying = append(f.flying, flying{f.now + 10*ms, i, o, m.Data})
+					f.flying = append(f.flying, flying{f.now + 10*ms + f.late[o], i, o, m.Data})
 				}
 			}
 		}
@@ -195,6 +196,33 @@
 	}
 }
 
+// A keeper that can't hear, or hears all too late, but can be heard, tells of little more than what it has seen itself: it
+// falls silent, and another keeps, steadily, until it hears again. The same where it was the keeper of no group before.
+func TestKeeperThatCannotHearIsPassedOver(t *testing.T) {
+	const gateways, hosts = 30, 5
+	for _, late := range []int64{0, 1000 * ms} {
+		f := newFleet(gateways, hosts)
+		f.work(hosts, 2000*ms)
+		first := f.keepers(0)[0]
+		others := func(i int) bool { return i != first }
+		if f.late[first] = late; late == 0 {
+			f.lose = func(_, to int) bool { return to == first }
+		}
+		f.work(hosts, 1700*ms)
+		for range 80 { // some that ask it again do without for a while
+			f.work(hosts, 100*ms)
+			if age := f.oldest(hosts, others); age > 300*ms {
+				t.Fatalf("late %d ms: %d ms after, a host is known as of %d ms ago", late/ms, (f.now-base)/ms-2000, age/ms)
+			}
+		}
+		f.late[first], f.lose = 0, func(int, int) bool { return false }
+		f.work(hosts, 9000*ms)
+		if ks := f.keepers((first + 1) % gateways); ks[0] != first {
+			t.Errorf("keeper %d long after %d hears again", ks[0], first)
+		}
+	}
+}
+
 // A third of all messages is lost, and one gateway can't reach the keeper at all: it asks another, and both speak.
 func TestLinksThatLose(t *testing.T) {
 	const gateways, hosts = 30, 10
--- a/internal/gossip/keeper.go
+++ b/internal/gossip/keeper.go
@@ -193,9 +193,14 @@
 	return b.held - b.count[s.conf.Ordinal].n
 }
 
+// deaf tells whether this gateway hears nobody, or all too late for what it hears to be used. As a keeper it would tell
+// of what it has seen itself, and be taken for one that knows; silent, it is passed over. Where nobody else has
+// anything to report, nobody misses it.
+func (s *State) deaf(now int64) bool { return now-s.newest > s.conf.Within }
+
 // digest returns what the keeper of a group tells all others now, or nil.
 func (s *State) digest(now int64, c *circle) []byte {
-	if !c.reported || now < c.nextAt {
+	if !c.reported || now < c.nextAt || s.deaf(now) {
 		return nil
 	}
 	if c.last == 0 {
--- a/internal/lab/tier/measure.go
+++ b/internal/lab/tier/measure.go
@@ -32,6 +32,7 @@
 // hostLog is what one host saw.
 type hostLog struct {
 	group int
+	fit   time.Duration // from when on it is to have its part
 	all   []arrival
 }
 
@@ -46,15 +47,18 @@
 	window := func(each time.Duration, take func(counts []int, mean float64)) {
 		for _, members := range groups {
 			for at := from; at+each <= to; at += each {
-				counts, sum := make([]int, len(members)), 0
-				for i, h := range members {
+				counts, sum := make([]int, 0, len(members)), 0
+				for _, h := range members {
+					if h.fit > at {
+						continue
+					}
 					lo, _ := slices.BinarySearchFunc(h.all, at, func(a arrival, t time.Duration) int { return cmp.Compare(a.at, t) })
 					hi, _ := slices.BinarySearchFunc(h.all, at+each, func(a arrival, t time.Duration) int { return cmp.Compare(a.at, t) })
-					counts[i] = hi - lo
+					counts = append(counts, hi-lo)
 					sum += hi - lo
 				}
 				if sum > 0 {
-					take(counts, float64(sum)/float64(len(members)))
+					take(counts, float64(sum)/float64(len(counts)))
 				}
 			}
 		}
--- a/internal/lab/tier/plan.go
+++ b/internal/lab/tier/plan.go
@@ -23,6 +23,7 @@
 	Cut   Fault = "cut"   // nothing comes from the gateway, or nothing to it, or both
 	Late  Fault = "late"  // what comes to the gateway takes longer
 	Lossy Fault = "lossy" // one datagram in five to the gateway is lost, one in twenty comes twice
+	Join  Fault = "join"  // the gateway's list shows the last host of each group, which was not in it
 )
 
 // Event is one fault.
@@ -37,7 +38,7 @@
 }
 
 // Plans are the names that MakePlan takes.
-var Plans = []string{"none", "stall", "late", "cut", "loss", "kill", "roll"}
+var Plans = []string{"none", "stall", "late", "cut", "loss", "kill", "roll", "join"}
 
 // MakePlan returns the faults of a run by name. The same arguments give the same events.
 func MakePlan(name string, seed uint64, gateways int, run time.Duration) ([]Event, error) {
@@ -74,6 +75,10 @@
 		for i, g := range half {
 			events = append(events, Event{AtMS: from + span*int64(i)/int64(len(half)), ForMS: 100 + r.Int64N(200), Gate: g, Fault: Kill})
 		}
+	case "join": // everybody hears of the new hosts, each in its own time
+		for _, g := range order {
+			events = append(events, Event{AtMS: from + r.Int64N(span/4+1), ForMS: 1, Gate: g, Fault: Join})
+		}
 	default:
 		return nil, fmt.Errorf("plan %q is none of %v", name, Plans)
 	}
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -28,8 +28,8 @@
 	Seed     uint64
 	Plan     string
 	Use      float64 // part of what the hosts can do that is asked for
-	Policy   string  // "": the program as it is; "random": gateways tell one another nothing
-	Break    string  // "blind-herd": what is told leaves out how many others act on it
+	Policy   string  // "": the program as it is; "random": gateways tell one another nothing; "before": a Program of another version
+	Break    string  // "blind-herd": all go to the host that was told to be least loaded; "subset-fixed": to the same part of the hosts
 	Log      func(format string, a ...any)
 }
 
@@ -56,6 +56,7 @@
 	Events       []Event `json:"events"`
 	SettlingMS   int64   `json:"settling_ms"`
 	HerdsAtMost  int     `json:"herd_windows_at_most"`
+	CVAtMost     float64 `json:"cv_1s_at_most"`
 }
 
 const (
@@ -104,8 +105,9 @@
 	logs     []hostLog
 	mu       sync.Mutex // of the logs
 	began    time.Time
-	list     string
-	disco    *standin.Discovery
+	list     string // of all hosts; short lacks the last of each group
+	short    string
+	discos   []*standin.Discovery // by gateway
 	exchange *exchange
 	gates    []*gate
 	dead     time.Duration // processor time of processes that ended
@@ -123,7 +125,7 @@
 type span struct{ from, to time.Time }
 
 func (t *stage) open() error {
-	var list []map[string]any
+	var all, most []map[string]any
 	groups := t.Hosts / t.Members
 	t.res.Hosts = groups * t.Members
 	t.logs = make([]hostLog, t.res.Hosts)
@@ -144,17 +146,29 @@
 		if i%t.Members == 0 {
 			rank = "source"
 		}
-		list = append(list, map[string]any{"instanceId": h.ID, "hostPort": h.Address(), "cell": 1 + i/t.Members, "lifecycle": "SERVING", "rank": rank})
+		all = append(all, map[string]any{"instanceId": h.ID, "hostPort": h.Address(), "cell": 1 + i/t.Members, "lifecycle": "SERVING", "rank": rank})
+		if i%t.Members < t.Members-1 {
+			most = append(most, all[i])
+		}
 	}
-	b, err := json.Marshal(map[string]any{"generation": 7, "reset": true, "instances": list})
-	if err != nil {
+	var err error
+	if t.list, err = list(7, all); err != nil {
 		return err
 	}
-	t.list = string(b)
-	if t.disco, err = standin.NewDiscovery(); err != nil {
+	if t.short, err = list(6, most); err != nil {
 		return err
 	}
-	t.disco.Tell(t.list)
+	if t.Plan != "join" && t.Break != "subset-fixed" {
+		t.short = t.list
+	}
+	for range t.Gateways {
+		d, err := standin.NewDiscovery()
+		if err != nil {
+			return err
+		}
+		d.Tell(t.short)
+		t.discos = append(t.discos, d)
+	}
 	free, err := loopback.Reserve(2 * t.Gateways)
 	if err != nil {
 		return err
@@ -165,10 +179,17 @@
 		peers = append(peers, free[2*i+1])
 	}
 	var spoil func([]byte)
-	if t.Break == "blind-herd" {
+	switch t.Break {
+	case "blind-herd":
 		spoil = blind
-	} else if t.Break != "" {
-		return fmt.Errorf("break %q: there is blind-herd", t.Break)
+	case "", "subset-fixed":
+	default:
+		return fmt.Errorf("break %q: there are blind-herd and subset-fixed", t.Break)
+	}
+	switch t.Policy {
+	case "", "random", "before":
+	default:
+		return fmt.Errorf("policy %q: there are random and before", t.Policy)
 	}
 	if t.exchange, err = newExchange(peers, t.Seed, spoil); err != nil {
 		return err
@@ -184,18 +205,41 @@
 	return nil
 }
 
-// blind has a digest say that next to nothing comes, so that each gateway acts on it as if it were alone.
+// list is what discovery tells of hosts.
+func list(generation int, hosts []map[string]any) (string, error) {
+	b, err := json.Marshal(map[string]any{"generation": generation, "reset": true, "instances": hosts})
+	return string(b), err
+}
+
+// blind has a digest say that one replica has nothing to do, and that all others are busy and answer in no time, so that every
+// gateway goes to the one that was last told to be least loaded (the layout: internal/gossip, message.go).
 func blind(b []byte) {
-	if len(b) > 9 && b[0] == 4 {
-		b[9] = b[9]&0x80 | 1
+	const head, each, leads = 10, 4, 0x80
+	if len(b) < head || b[0] != 4 {
+		return
 	}
+	first, least := head, 0
+	if b[9]&leads != 0 {
+		first += each // the primary
+	}
+	for i := first; i+each <= len(b); i += each {
+		if b[i+2] < 255 && (least == 0 || b[i+3]>>3 < b[least+3]>>3) { // its position is told: it may get reads
+			least = i
+		}
+	}
+	for i := first; i+each <= len(b); i += each {
+		if b[i+3] = 1; i != least {
+			b[i+3] = 31<<3 | 6
+		}
+	}
+	b[9] = b[9]&leads | 1
 }
 
 func (t *stage) configure(i int) error {
 	type m = map[string]any
 	g := t.gates[i]
-	conf := m{"name": fmt.Sprintf("n%d", i), "listen": g.listen, "discovery": t.disco.Address(), "seed": fmt.Sprintf("%x", t.Seed*1000+uint64(i)),
-		"limits": m{"memory_mb": 64, "sockets": 512}, "known": json.RawMessage(t.list),
+	conf := m{"name": fmt.Sprintf("n%d", i), "listen": g.listen, "discovery": t.discos[i].Address(), "seed": fmt.Sprintf("%x", t.Seed*1000+uint64(i)),
+		"limits": m{"memory_mb": 64, "sockets": 512}, "known": json.RawMessage(t.short),
 		"settings": m{"tickMs": 5.0, "classes": standin.ClassSettings(), "balancers": t.Gateways, "ordinal": i, "extra": m{"classRead": []string{"recent", "own_writes", "update"},
 			"stalenessBoundMs": []int{500, 0, 0}, "serverChecks": "none", "tokens": "client"}, "costs": m{"peer": 0.012},
 			"report":      m{"fields": []string{"x0", "x1"}, "source": "answers"},
@@ -313,6 +357,9 @@
 		if err := t.start(e.Gate); err != nil {
 			t.Log("%v", err)
 		}
+	case Join:
+		t.discos[e.Gate].Tell(t.list)
+		return
 	case Cut, Late, Lossy:
 		t.exchange.set(e.Gate, func(l *link) {
 			l.dumb, l.deaf, l.lossy, l.delay = e.From, e.To, e.Fault == Lossy, time.Duration(e.Delay)*time.Millisecond
@@ -351,6 +398,7 @@
 			r.Disturbed++
 		default:
 			r.Lost++
+			t.Log("lost at gateway %d, sent at %v: %v after %v", s.Gate, s.At.Sub(t.began), s.Err, s.Took)
 		}
 	}
 	r.InTime = earned / max(asked, 1)
@@ -379,7 +427,16 @@
 	defer t.mu.Unlock()
 	r.CPU = float64(t.dead.Milliseconds()) / n
 	var replicas []hostLog
+	known := time.Duration(0)
+	for _, e := range t.events {
+		if e.Fault == Join {
+			known = max(known, time.Duration(e.AtMS)*time.Millisecond+settling)
+		}
+	}
 	for i, l := range t.logs {
+		if i%t.Members == t.Members-1 {
+			l.fit = known
+		}
 		if i%t.Members > 0 {
 			slices.SortFunc(l.all, func(a, b arrival) int { return int(a.at - b.at) })
 			replicas = append(replicas, l)
@@ -388,16 +445,17 @@
 	r.Spread = measure(replicas, settling, t.For)
 	slices.Sort(conns)
 	r.Spread.ConnectionsP50, r.Spread.ConnectionsMax = conns[len(conns)/2], conns[len(conns)-1]
-	r.HerdsAtMost = int(1.5*r.Spread.FairHerds) + 20
+	r.HerdsAtMost, r.CVAtMost = int(1.5*r.Spread.FairHerds)+20, 2*r.Spread.Fair1s
 }
 
 // Found names what must not be.
 func (r *Result) Found() (faults []string) {
 	for what, bad := range map[string]bool{
-		"requests were lost":                        r.Lost > 0,
-		"hosts were idle":                           r.Spread.IdleSeconds > 0,
-		"more herds than chance and half as many":   r.Spread.HerdWindows > r.HerdsAtMost,
-		"gateways ended by themselves or were left": r.Died > 0 || r.Left > 0,
+		"requests were lost":                         r.Lost > 0,
+		"hosts were idle":                            r.Spread.IdleSeconds > 0,
+		"more herds than chance and half as many":    r.Spread.HerdWindows > r.HerdsAtMost,
+		"twice as uneven over a second as by chance": r.Spread.CV1s > r.CVAtMost,
+		"gateways ended by themselves or were left":  r.Died > 0 || r.Left > 0,
 	} {
 		if bad {
 			faults = append(faults, what)
@@ -418,8 +476,8 @@
 	if t.exchange != nil {
 		t.exchange.close()
 	}
-	if t.disco != nil {
-		t.disco.Close()
+	for _, d := range t.discos {
+		d.Close()
 	}
 	for _, h := range t.hosts {
 		h.Close()
