--- a/internal/lab/tier/tier_test.go
+++ b/internal/lab/tier/tier_test.go
@@ -64,24 +64,27 @@
 	}
 }
 
-// Four real processes, of which one is stopped for a while, and one can't hear or can't be heard: nothing is lost, and
-// no host is idle.
+// Four real processes, of which one is stopped for a while, one can't hear or can't be heard, or all hear of new hosts at
+// different times: nothing is lost, and no host is idle. One that nobody knows of is found to be.
 func TestFourProcesses(t *testing.T) {
 	dir := t.TempDir()
 	if out, err := exec.Command("go", "build", "-o", dir, "cloverrock/cmd/cloverrock").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	for _, plan := range []string{"stall", "cut"} {
-		t.Run(plan, func(t *testing.T) {
+	for _, c := range []struct {
+		plan, spoilt string
+	}{{"stall", ""}, {"cut", ""}, {"join", ""}, {"none", "subset-fixed"}} {
+		t.Run(c.plan+c.spoilt, func(t *testing.T) {
 			t.Parallel()
 			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 			defer cancel()
 			res, err := Run(ctx, Options{Program: filepath.Join(dir, "cloverrock"), Gateways: 4, Hosts: 10, Members: 5, For: 2 * settling, Seed: 1,
-				Plan: plan, Use: 0.2, Log: t.Logf})
+				Plan: c.plan, Break: c.spoilt, Use: 0.2, Log: t.Logf})
 			if err != nil {
 				t.Fatal(err)
 			}
-			if res.Lost > 0 || res.Died > 0 || res.Spread.IdleSeconds > 0 || res.Requests < 300 || plan == "cut" && res.PeerLost == 0 {
+			if res.Lost > 0 || res.Died > 0 || (res.Spread.IdleSeconds > 0) != (c.spoilt != "") || res.Requests < 300 ||
+				c.plan == "cut" && res.PeerLost == 0 {
 				t.Errorf("%+v", res)
 			}
 		})
