Lists of hosts may be laid out over lines: read by net/http and a streaming decoder

Cause: the watch cut the answer's body at line feeds and decoded each line, so an indented list was never taken: '{' alone was 'unexpected end of JSON input', the watch ended and began again for ever.

One clock for silence: 4.2 s without a line or a whole list ends a watch (5 s before), calls may wait 0.4, 0.8, 1.6 s for their answer, so that two unanswered tries still leave the third within 6 s of the silence. A list that drips or stops half way counts as silence. A new process asks its agent for the whole list before it goes by the known one, 0.5 s at most. Errors of the watch have types, and the log line says what to do.

--- a/internal/app/commands.go
+++ b/internal/app/commands.go
@@ -163,7 +163,7 @@
 		defer part.Close()
 		conf = part.Configured(conf)
 	}
-	s, err := newServer(conf, patience{silence, resting}, part != nil, log)
+	s, err := newServer(conf, patience{silence, resting, listing}, part != nil, log)
 	if err != nil {
 		log.Error().Err(err).Msg("cannot start")
 		return err
--- a/internal/app/rig_test.go
+++ b/internal/app/rig_test.go
@@ -306,7 +306,7 @@
 // play sets up one primary, s-0, so many replicas, and discovery, without a gateway.
 func play(t *testing.T, replicas int) *rig {
 	t.Helper()
-	r := &rig{t: t, ended: make(chan struct{}), conns: make(chan *agent, 16), patience: patience{3600e6, 3600e6}}
+	r := &rig{t: t, ended: make(chan struct{}), conns: make(chan *agent, 16), patience: patience{3600e6, 3600e6, 0}}
 	for i := 0; i <= replicas; i++ {
 		r.hosts = append(r.hosts, newHost(t, i == 0))
 	}
--- a/internal/app/serve_test.go
+++ b/internal/app/serve_test.go
@@ -168,7 +168,7 @@
 
 // told tells whether the gateway has read the list of that generation.
 func (r *rig) told(generation int64) (told bool) {
-	r.do(func() { told = r.s.watch.Generation() >= generation })
+	r.do(func() { told = r.s.watch.Generation >= generation })
 	return told
 }
 
@@ -631,7 +631,7 @@
 // request under way goes on.
 func TestSilentClientsAreClosed(t *testing.T) {
 	r := play(t, 0)
-	r.patience = patience{50e3, 100e3}
+	r.patience = patience{50e3, 100e3, 0}
 	r.start()
 	busy := r.dial() // its query comes with the startup: a later one might find the time over
 	busy.write(pgwire.AppendQuery(pgwire.AppendStartup(nil, "user", "worker"), text(writeText, 1)))
--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -29,6 +29,8 @@
 	// may be closed after 2 s, and is: clients that ask once and stay take up what their side may have open, too.
 	silence = 2_000_000
 	resting = 2_000_000
+	// An agent on this machine answers at once, and says nothing while discovery is down.
+	listing = 500_000
 	// descriptors that neither clients nor hosts take: standard streams, engine, listener, discovery, peers,
 	// and connections on their way in or out.
 	reserved = 40
@@ -54,8 +56,9 @@
 // Call implements gateway.Clock.
 func (c clock) Call(at int64, f func()) { c.At(at, f) }
 
-// patience is how long clients may be silent, and rest.
-type patience struct{ silence, resting int64 }
+// patience is how long clients may be silent, and rest, and how long discovery's own agent may take to tell the list
+// before the known one is gone by; 0: not at all.
+type patience struct{ silence, resting, list int64 }
 
 func newServer(conf *config.Config, p patience, beside bool, log zerolog.Logger) (*server, error) {
 	// A gateway has one core. With two threads at a time a request took 107 us to its first attempt and 1.0 s of
@@ -82,8 +85,17 @@
 	if known {
 		generation = conf.Known.Generation
 	}
-	retry := discovery.NewRetry(conf.Gateways, conf.Settings.Subscribe, conf.Seed)
-	s.watch = discovery.New(s.loop, conf.Discovery, conf.Names, generation, known, retry, s.listed, s.gateway.ListFailed, log)
+	// Where an agent on this machine holds the list, all that it holds counts as told from the first moment: the whole
+	// list is asked for, and the known one, which may be older, is gone by only if no answer comes.
+	asks := known && !conf.Settings.Subscribe && p.list > 0
+	if asks {
+		generation = 0
+	}
+	s.watch = discovery.New(s.loop, discovery.Config{
+		Address: conf.Discovery, Names: conf.Names, Generation: generation, Known: known,
+		Retry: discovery.NewRetry(conf.Gateways, conf.Settings.Subscribe, conf.Seed),
+		Told:  s.listed, Failed: func(*discovery.WatchError) { s.gateway.ListFailed() }, Log: log,
+	})
 	peers := &peer.Peers{}
 	s.gateway.Connect(s.pool, s.watch, peers)
 	if err := s.loop.Start(conf.Listen, s.frontend.Accept); err != nil {
@@ -94,7 +106,14 @@
 		return nil, err
 	}
 	*peers = *opened
-	if conf.Known != nil {
+	if asks {
+		s.loop.At(s.loop.Now()+p.list, func() {
+			if !s.gateway.Ready() {
+				log.Warn().Int64("generation", conf.Known.Generation).Msg("discovery does not answer: going on from the known list")
+				s.listed(*conf.Known)
+			}
+		})
+	} else if known {
 		s.listed(*conf.Known)
 	}
 	s.watch.Subscribe()
@@ -133,7 +152,13 @@
 // Believe implements Gateway. A list that is older than what discovery has told meanwhile is passed over.
 func (s *server) Believe(f balance.Facts, l *discovery.List) {
 	s.loop.Post(func() {
-		if l != nil && l.Generation > s.list.Generation {
+		switch known := s.conf.Known; {
+		case l == nil:
+		case known != nil && !s.gateway.Ready(): // discovery is being asked, and goes before both
+			if l.Generation > known.Generation {
+				s.conf.Known = l
+			}
+		case l.Generation > s.list.Generation:
 			s.listed(*l)
 		}
 		s.gateway.Believe(f)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,7 +1,6 @@
 package discovery
 
 import (
-	"errors"
 	"strings"
 	"testing"
 
@@ -41,50 +40,3 @@
 		}
 	}
 }
-
-func TestResponse(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-	for name, c := range map[string]struct {
-		in    string
-		lines []string
-		end   bool   // it is whole
-		err   string // part of it
-	}{
-		"chunks that cut lines": {in: head + "Transfer-Encoding: chunked\r\n\r\n4\r\nab\nc\r\n3;x=y\r\nd\n\n\r\n", lines: []string{"ab", "cd", ""}},
-		"last chunk":            {in: head + "transfer-encoding: Chunked\r\n\r\n2\r\na\n\r\n0\r\nT: v\r\n\r\n", lines: []string{"a"}, end: true},
-		"stated length":         {in: head + "Content-Length: 3\r\n\r\na\nb", lines: []string{"a"}, end: true},
-		"no body":               {in: head + "Content-Length: 0\r\n\r\n", end: true},
-		"until the end":         {in: head + "\r\na\nb\n", lines: []string{"a", "b"}},
-		"status":                {in: "HTTP/1.1 503 Busy\r\n\r\n", err: "status"},
-		"no HTTP":               {in: "SSH-2.0-x\r\n", err: "not an HTTP"},
-		"other encoding":        {in: head + "Transfer-Encoding: gzip\r\n\r\n", err: "transfer encoding"},
-		"bad length":            {in: head + "Content-Length: -1\r\n\r\n", err: "content length"},
-		"bad size":              {in: head + "Transfer-Encoding: chunked\r\n\r\nxyz\r\n", err: "chunk size"},
-		"huge size":             {in: head + "Transfer-Encoding: chunked\r\n\r\nffffffffff\r\n", err: "chunk size"},
-		"chunk without end":     {in: head + "Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", err: "does not end"},
-		"endless head":          {in: head + strings.Repeat("a: b\r\n", 8000), err: "too long"},
-		"endless head line":     {in: head + strings.Repeat("a", 20000), err: "too long"},
-		"endless line":          {in: head + "\r\n" + strings.Repeat("a", maxLine+1), err: "too long"},
-	} {
-		for _, step := range []int{1, 7, len(c.in)} {
-			if step < 7 && len(c.in) > 1e5 {
-				continue
-			}
-			var r response
-			var got []string
-			var err error
-			for at := 0; at < len(c.in) && err == nil; at += step {
-				err = r.feed([]byte(c.in[at:min(at+step, len(c.in))]), func(b []byte) error {
-					got = append(got, string(b))
-					return nil
-				})
-			}
-			if c.end != errors.Is(err, errEnd) || c.err != "" && (err == nil || !strings.Contains(err.Error(), c.err)) || c.err == "" && !c.end && err != nil {
-				t.Errorf("%s by %d: %v", name, step, err)
-			}
-			if d := cmp.Diff(c.lines, got); c.err == "" && d != "" {
-				t.Errorf("%s by %d: %s", name, step, d)
-			}
-		}
-	}
-}
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -1,9 +1,10 @@
-// Package discovery follows the list of database hosts. It reads the list's form, and the HTTP/1.1 answer that
-// carries its changes.
+// Package discovery follows the list of database hosts: it reads the list's form, and keeps a call to discovery open
+// that tells its changes.
 package discovery
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -55,6 +56,41 @@
 	return c
 }
 
+// ListError is a list that is wrong. Key names the place, empty where the text is no JSON.
+type ListError struct {
+	Key string
+	Err error
+}
+
+func (e *ListError) Error() string {
+	if e.Key == "" {
+		return fmt.Sprintf("list of hosts: %v", e.Err)
+	}
+	return fmt.Sprintf("list of hosts: %s: %v", e.Key, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ListError) Unwrap() error { return e.Err }
+
+// decoding says what encoding/json could not read. Errors of the connection pass as they are.
+func decoding(err error) error {
+	var syntax *json.SyntaxError
+	var wrong *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &wrong):
+		return &ListError{wrong.Field, fmt.Errorf("is a %s", wrong.Value)}
+	case errors.As(err, &syntax):
+		return &ListError{Err: err}
+	}
+	return err
+}
+
+var errMissing = errors.New("missing")
+
+func fault(i int, key string, err error) error {
+	return &ListError{fmt.Sprintf("instances[%d].%s", i, key), err}
+}
+
 // Decode reads a list. One that is wrong in any part is turned down whole.
 func Decode(b []byte, names Names) (List, error) {
 	var raw struct {
@@ -73,7 +109,7 @@
 		} `json:"instances"`
 	}
 	if err := json.Unmarshal(b, &raw); err != nil {
-		return List{}, fmt.Errorf("list of hosts: %w", err)
+		return List{}, decoding(err)
 	}
 	l := List{Generation: raw.Generation, Full: raw.Reset, Addresses: map[string]string{}}
 	for i, r := range raw.Instances {
@@ -93,13 +129,13 @@
 		case "DELETED":
 			e.Phase = balance.Gone
 		default:
-			return List{}, fmt.Errorf("list of hosts: instances[%d].lifecycle: unknown state %q", i, r.Lifecycle)
+			return List{}, fault(i, "lifecycle", fmt.Errorf("unknown state %q", r.Lifecycle))
 		}
 		if e.Host == "" {
-			return List{}, fmt.Errorf("list of hosts: instances[%d].instanceId: missing", i)
+			return List{}, fault(i, "instanceId", errMissing)
 		}
 		if r.HostPort == "" && e.Phase != balance.Gone {
-			return List{}, fmt.Errorf("list of hosts: instances[%d].hostPort: missing", i)
+			return List{}, fault(i, "hostPort", errMissing)
 		}
 		if r.HostPort != "" {
 			l.Addresses[e.Host] = r.HostPort
--- a/internal/discovery/retry.go
+++ b/internal/discovery/retry.go
@@ -8,12 +8,16 @@
 // that all of them need, and longer after each failure. It does no I/O and reads no clock; times are microseconds.
 type Retry struct {
 	first, least, most, next int64
+	brief, answer            int64
 	rand                     random.Source
 }
 
 const (
 	minRetry = 5e4
-	maxRetry = 1e6
+	maxRetry = 5e5
+	// brief is how long an answer may take to begin: at first, and doubled after each that did not, up to patient.
+	brief   = 4e5
+	patient = 2e6
 	// call is what one gateway's call may take of discovery's time: a guess on the safe side. Measured where it was
 	// overbooked: of 80 calls at once it answered 32 in 2 s, and then none of some 20 a second.
 	call = 6e4
@@ -22,12 +26,13 @@
 // NewRetry returns the times for one of a number of gateways. shared tells that all ask one service; where an agent of
 // each gateway's own holds the list, they need not spare it.
 func NewRetry(gateways int, shared bool, seed uint64) *Retry {
-	r := &Retry{least: minRetry, most: maxRetry, rand: random.Source(seed)}
+	r := &Retry{least: minRetry, most: maxRetry, brief: brief, rand: random.Source(seed)}
 	if shared && gateways > 1 {
 		all := int64(gateways) * call
 		r.first, r.least, r.most = all, max(minRetry, all/4), max(maxRetry, 2*all)
+		r.brief = min(max(brief, all), patient) // calls are taken in turn
 	}
-	r.next = r.least
+	r.Told()
 	return r
 }
 
@@ -39,12 +44,19 @@
 	return r.rand.Below(r.first)
 }
 
-// Failed is how long to wait after a call or a watch that ended.
+// Answer is how long the answer to the next call may take to begin.
+func (r *Retry) Answer() int64 { return r.answer }
+
+// Broke is how long to wait after a watch that had told a list and then ended: mostly that one connection's fault, and
+// what discovery tells from now on counts as told within toldWithin.
+func (r *Retry) Broke() int64 { return r.rand.Below(min(r.least, maxRetry)) }
+
+// Failed is how long to wait after a call that told nothing.
 func (r *Retry) Failed() int64 {
 	wait := r.next/2 + r.rand.Below(r.next)
-	r.next = min(2*r.next, r.most)
+	r.next, r.answer = min(2*r.next, r.most), min(2*r.answer, patient)
 	return wait
 }
 
 // Told notes that discovery has answered.
-func (r *Retry) Told() { r.next = r.least }
+func (r *Retry) Told() { r.next, r.answer = r.least, r.brief }
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,44 +1,56 @@
 package discovery
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"net"
+	"net/http"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"cloverrock/internal/loop"
 )
 
-// silence is when nobody is there: an empty line comes every 2 s while nothing changes, and this is twice that and some.
-const silence = 5e6
+// toldWithin is the protocol's one clock for silence: what a watch that has fallen silent misses counts as told so long
+// after it fell silent, whether or not it arrived.
+const toldWithin = 6e6
+
+// silence is when nobody is there: an empty line comes every 2 s while nothing changes, and then two are missing. What
+// is left of toldWithin is for the new watch: two tries may go unanswered, and the third still begins within it.
+const silence = 4.2e6
+
+// Config says what to follow, and whom to tell.
+type Config struct {
+	Address    string
+	Names      Names
+	Generation int64 // of the list to go on from; 0: from none, the whole list is asked for
+	Known      bool  // there is a list to go on with while the first call waits
+	Retry      *Retry
+	Told       func(List) // on the loop's goroutine, like Failed
+	Failed     func(*WatchError)
+	Dial       func(ctx context.Context, network, address string) (net.Conn, error) // nil: TCP
+	Log        zerolog.Logger
+}
 
-// Watch follows the list over one connection at a time, and connects again when that ends. The last list holds
-// until a new one comes. It belongs to the loop's goroutine.
+// Watch follows the list by one call at a time, and calls again when that ends. The last list holds until a new one
+// comes. It belongs to the loop's goroutine; the calls are read beside it.
 type Watch struct {
-	loop    *loop.Loop
-	address string
-	names   Names
-	log     zerolog.Logger
-	told    func(List)
-	failed  func()
-
-	generation int64
-	known      bool
-	retry      *Retry
-	begun      bool
-	current    *stream
-	quiet      *loop.Timer
+	Config
+	loop      *loop.Loop
+	transport *http.Transport
+	begun     bool
+	hang      context.CancelCauseFunc // ends the call that is current
+	call      int                     // its number
+	heard     bool                    // it has given a sign of life
 }
 
-// New returns a watch that goes on from a list's generation; known tells that there is such a list.
-func New(l *loop.Loop, address string, names Names, generation int64, known bool, retry *Retry, told func(List), failed func(), log zerolog.Logger) *Watch {
-	return &Watch{loop: l, address: address, names: names, generation: generation, known: known,
-		told: told, failed: failed, retry: retry, log: log}
+// New returns a watch that has not begun.
+func New(l *loop.Loop, c Config) *Watch {
+	return &Watch{Config: c, loop: l, transport: newTransport(c.Dial)}
 }
 
-// Generation is the version of the list that was told last.
-func (w *Watch) Generation() int64 { return w.generation }
-
 // Subscribe starts to follow, if that has not begun: in a while, where many may start at once and there is a list to go
 // on with.
 func (w *Watch) Subscribe() {
@@ -46,107 +58,101 @@
 		return
 	}
 	w.begun = true
-	wait := w.retry.First(w.known)
-	if wait == 0 {
-		w.connect()
-		return
-	}
-	w.loop.At(w.loop.Now()+wait, func() {
-		if w.current == nil {
-			w.connect()
-		}
-	})
+	w.connectIn(w.Retry.First(w.Known))
 }
 
 // Fetch asks for the whole list anew.
 func (w *Watch) Fetch() {
-	w.generation = 0
-	if w.current != nil {
-		w.current.net.Close()
-	}
+	w.Generation = 0
 	w.connect()
 }
 
+// errLeft ends a call that nobody waits for any more.
+var errLeft = errors.New("given up")
+
+// Close ends the watch; nothing more is told.
+func (w *Watch) Close() {
+	w.call++
+	if w.hang != nil {
+		w.hang(errLeft)
+	}
+}
+
 // Move follows the list at another address from now on. What was told stays, and the new watch goes on from
 // there; the old one is not waited for, since it may close without telling the last changes.
 func (w *Watch) Move(address string) {
-	if address == w.address {
+	if address == w.Address {
 		return
 	}
-	w.log.Info().Str("from", w.address).Str("to", address).Msg("discovery: moving")
-	w.address = address
-	w.retry.Told()
-	if w.current != nil {
-		w.current.net.Close()
+	w.Log.Info().Str("from", w.Address).Str("to", address).Msg("discovery: moving")
+	w.Address = address
+	w.Retry.Told()
+	if w.hang != nil {
 		w.connect()
 	}
 }
 
-func (w *Watch) connect() {
-	s := &stream{watch: w}
-	w.current = s
-	w.listen()
-	s.net = w.loop.Dial(w.address, s)
-	s.net.Write(fmt.Appendf(nil, "GET /api/targets?stream=1&index=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n",
-		w.generation, w.address))
-}
-
-// listen sets the time until silence counts as the end.
-func (w *Watch) listen() {
-	w.quiet.Stop()
-	s := w.current
-	w.quiet = w.loop.At(w.loop.Now()+silence, func() { s.end(errors.New("nothing heard for too long")) })
-}
-
-// stream is one connection to discovery.
-type stream struct {
-	watch    *Watch
-	net      *loop.Conn
-	response response
+// connectIn calls after a wait, unless another call is made before.
+func (w *Watch) connectIn(wait int64) {
+	if wait == 0 {
+		w.connect()
+		return
+	}
+	n := w.call
+	w.loop.At(w.loop.Now()+wait, func() {
+		if w.call == n {
+			w.connect()
+		}
+	})
 }
 
-// Data implements loop.Handler.
-func (s *stream) Data(b []byte) {
-	if s.watch.current != s {
-		return
+func (w *Watch) connect() {
+	if w.hang != nil {
+		w.hang(errLeft)
 	}
-	s.watch.listen()
-	if err := s.response.feed(b, s.line); err != nil {
-		s.end(err)
+	ctx, hang := context.WithCancelCause(context.Background())
+	w.hang, w.heard = hang, false
+	w.call++
+	n, address := w.call, w.Address
+	s := &stream{
+		names: w.Names, silence: silence * time.Microsecond, answer: time.Duration(w.Retry.Answer()) * time.Microsecond,
+		told:  func(l List) { w.loop.Post(func() { w.told(n, l) }) },
+		alive: func() { w.loop.Post(func() { w.lives(n) }) },
 	}
+	url := fmt.Sprintf("http://%s/api/targets?stream=1&index=%d", address, w.Generation)
+	go func() {
+		err := s.follow(ctx, w.transport, url)
+		hang(nil)
+		w.loop.Post(func() { w.ended(n, &WatchError{address, err}) })
+	}()
 }
 
-func (s *stream) line(b []byte) error {
-	w := s.watch
-	if len(b) == 0 {
-		return nil
-	}
-	l, err := Decode(b, w.names)
-	if err != nil {
-		return err
+// lives notes the current call's first sign of life.
+func (w *Watch) lives(call int) {
+	if call == w.call {
+		w.heard = true
+		w.Retry.Told()
 	}
-	w.generation = l.Generation
-	w.retry.Told()
-	w.told(l)
-	return nil
 }
 
-// Closed implements loop.Handler.
-func (s *stream) Closed(err error) { s.end(err) }
+// told takes a list of the current call.
+func (w *Watch) told(call int, l List) {
+	if call == w.call {
+		w.Generation = l.Generation
+		w.Told(l)
+	}
+}
 
-// end closes the connection and comes back a little later.
-func (s *stream) end(err error) {
-	w := s.watch
-	if w.current != s {
+// ended comes back a little later.
+func (w *Watch) ended(call int, err *WatchError) {
+	if call != w.call {
 		return
 	}
-	s.net.Close()
-	w.quiet.Stop()
-	w.log.Warn().Err(err).Msg("discovery: watch ended, connecting again")
-	w.failed()
-	w.loop.At(w.loop.Now()+w.retry.Failed(), func() {
-		if w.current == s {
-			w.connect()
-		}
-	})
+	w.Log.Warn().Err(err).Str("remedy", err.Remedy()).Msg("discovery: watch ended, connecting again")
+	w.Failed(err)
+	if w.heard {
+		w.connectIn(w.Retry.Broke())
+	} else {
+		w.connectIn(w.Retry.Failed())
+	}
 }
