--- a/cmd/cloverrock-lab/tier.go
+++ b/cmd/cloverrock-lab/tier.go
@@ -49,7 +49,7 @@
 	f.Float64Var(&o.Use, "use", 0.15, "part of what the hosts can do that is asked for")
 	f.StringVar(&o.Plan, "faults", "none", "one of "+strings.Join(tier.Plans, ", "))
 	f.StringVar(&o.Policy, "policy", "", "random: gateways tell one another nothing; before: --program is another version, and the result says so")
-	f.StringVar(&o.Break, "break", "", "blind-herd: all go to the host told to be least loaded; subset-fixed: all know the same part of the hosts; both must be found")
+	f.StringVar(&o.Break, "break", "", "blind-herd: all go to the host told to be least loaded; subset-fixed: all know the same part of the hosts; abrupt: restarts give no time to end; each must be found")
 	f.StringVar(&o.Program, "program", "", "the gateway's program; beside this one if not given")
 	f.StringVar(&path, "json", "-", "where the result goes; - is standard output")
 	return cmd
--- a/internal/app/serve_test.go
+++ b/internal/app/serve_test.go
@@ -348,6 +348,72 @@
 	}
 }
 
+// Clients go on sending after SIGTERM. What is in a connection's socket at the moment of its end is taken and answered:
+// a request, half of one, the first half of several, a startup with its query behind it. Then the connection ends.
+func TestEndsWhileClientsSend(t *testing.T) {
+	startup := pgwire.AppendStartup(nil, "user", "worker")
+	query := func(ids ...int) (b []byte) {
+		for _, id := range ids {
+			b = pgwire.AppendQuery(b, text(writeText, id))
+		}
+		return b
+	}
+	for name, c := range map[string]struct {
+		fresh bool // the connection has said nothing yet
+		sent  []byte
+		first int // bytes of it that are there at the end
+		want  []string
+	}{
+		"a request":             {sent: query(1), first: len(query(1)), want: []string{"value v"}},
+		"half a request":        {sent: query(1), first: 9, want: []string{"value v"}},
+		"several, cut":          {sent: query(1, 2, 3), first: len(query(1)) + 7, want: []string{"value v", "value v", "value v"}},
+		"a startup and query":   {fresh: true, sent: append(startup, query(1)...), first: len(startup), want: []string{"", "value v"}},
+		"half a startup":        {fresh: true, sent: append(startup, query(1)...), first: 3, want: []string{"", "value v"}},
+		"nothing":               {want: nil},
+		"nothing since it came": {fresh: true, want: nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := start(t, 0)
+			cl := r.dial()
+			if !c.fresh {
+				cl.write(startup)
+				cl.want("")
+			}
+			r.connect() // its round trip shows that the loop has the first one, too
+			r.do(func() {
+				if c.first > 0 {
+					cl.write(c.sent[:c.first])
+					for began := time.Now(); r.s.frontend.Quiet() && time.Since(began) < limit; { // until it is there
+					}
+				}
+				r.s.shut()
+			})
+			go func() {
+				for range c.want {
+					select {
+					case q := <-r.hosts[0].queries:
+						q.answer("v")
+					case <-time.After(limit):
+						return
+					}
+				}
+			}()
+			if c.first < len(c.sent) {
+				cl.write(c.sent[c.first:])
+			}
+			for _, want := range c.want {
+				cl.want(want)
+			}
+			cl.want("closed")
+			select {
+			case <-r.ended:
+			case <-time.After(limit):
+				t.Fatal("does not end")
+			}
+		})
+	}
+}
+
 // alone is a gateway without the parts of a larger build.
 type alone struct{}
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -153,7 +153,18 @@
 	return n
 }
 
-// End closes each connection once nothing is owed on it, and calls back when the last is closed.
+// Quiet tells that no client has sent anything that was not read.
+func (s *Server) Quiet() bool {
+	for c := range s.clients {
+		if !c.net.Quiet() {
+			return false
+		}
+	}
+	return true
+}
+
+// End closes each connection once nothing is owed on it, and calls back when the last is closed. Clients go on asking on
+// those that stay open: one whose next bytes are here already is answered first.
 func (s *Server) End(ended func()) {
 	s.ending, s.ended = true, ended
 	for c := range s.clients {
@@ -243,11 +254,13 @@
 }
 
 // part closes the connection once all that was written to it is on its way. A client that reads slowly may send
-// a request meanwhile: unless the connection is dead that one is taken and answered first.
+// a request meanwhile: unless the connection is dead that one is taken and answered first, also where it is in the socket
+// and was not read yet: to close that would reset the connection, and take with it an answer that the client has not read.
+// One that has just come has a moment for its first request.
 func (c *client) part() {
 	switch {
-	case c.closed || c.waiting:
-	case c.net.Unwritten() <= 0:
+	case c.closed || c.waiting || len(c.in) > 0:
+	case c.net.Unwritten() <= 0 && (c.dead || (c.asked || c.server.loop.Now()-c.since > settle) && c.net.Quiet()):
 		c.close()
 	default:
 		c.later(c.part)
--- a/internal/lab/standin/load.go
+++ b/internal/lab/standin/load.go
@@ -75,11 +75,20 @@
 	Groups  int      // of hosts, numbered from 1; 0 for one
 	Rate    float64  // a second
 	Seed    uint64
-	Slack   time.Duration // how long past its time an answer is still taken, and earns nothing
+	Slack   time.Duration       // how long past its time an answer is still taken, and earns nothing
+	Away    func(gate int) bool // the front sends that gateway no new connections; nil: it always does
 	mu      sync.Mutex
 	samples []Sample
 	idle    map[int][]net.Conn
 	id      int
+	again   int // requests that were sent a second time
+}
+
+// SentAgain tells how many requests met the end of a connection that had rested.
+func (l *Load) SentAgain() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.again
 }
 
 // Run sends until the context ends, and waits for the last answers.
@@ -99,7 +108,7 @@
 		}
 		gate, group := rng.IntN(1+len(l.Others)), 1+rng.IntN(max(l.Groups, 1))
 		wg.Go(func() {
-			err := l.ask(class, gate, group, at)
+			gate, err := l.ask(class, gate, group, at)
 			l.mu.Lock()
 			l.samples = append(l.samples, Sample{at, class, err == nil, time.Since(at), gate, err})
 			l.mu.Unlock()
@@ -117,22 +126,43 @@
 // ErrRefused is an error in answer to a request.
 var ErrRefused = errors.New("standin: not served")
 
-func (l *Load) ask(class, gate, group int, at time.Time) error {
-	err, again := l.try(class, gate, group, at)
+// ErrClosed is a new connection that was closed before its first answer. It counts as refused.
+var ErrClosed = fmt.Errorf("%w: its new connection was closed", ErrRefused)
+
+// ask sends a request and tells which gateway answered, or did not.
+func (l *Load) ask(class, gate, group int, at time.Time) (int, error) {
+	gate, again, err := l.try(class, gate, group, at, false)
 	if again { // the gateway closed the connection while it rested, and had not read the request
-		err, _ = l.try(class, gate, group, at)
+		l.mu.Lock()
+		l.again++
+		l.mu.Unlock()
+		gate, _, err = l.try(class, gate, group, at, true)
+	}
+	return gate, err
+}
+
+// front is the gateway that a new connection goes to: the one named, or the next that is not away.
+func (l *Load) front(gate int) (int, string) {
+	for range len(l.Others) {
+		if l.Away == nil || !l.Away(gate) {
+			break
+		}
+		gate = (gate + 1) % (1 + len(l.Others))
 	}
-	return err
+	if gate > 0 {
+		return gate, l.Others[gate-1]
+	}
+	return gate, l.Address
 }
 
-// try sends a request once. again tells that it met the end of a connection that had rested.
-func (l *Load) try(class, gate, group int, at time.Time) (err error, again bool) {
+// try sends a request once, on a fresh connection or one that rests. again tells that it met the end of a connection that had rested.
+func (l *Load) try(class, gate, group int, at time.Time, fresh bool) (_ int, again bool, err error) {
 	c := Classes[class]
 	l.mu.Lock()
 	l.id++
 	id := l.id
 	var conn net.Conn
-	if n := len(l.idle[gate]); n > 0 {
+	if n := len(l.idle[gate]); n > 0 && !fresh {
 		conn, l.idle[gate] = l.idle[gate][n-1], l.idle[gate][:n-1]
 	}
 	l.mu.Unlock()
@@ -148,21 +178,18 @@
 	}
 	rested := conn != nil
 	if conn == nil {
-		address := l.Address
-		if gate > 0 {
-			address = l.Others[gate-1]
-		}
+		var address string
+		gate, address = l.front(gate)
 		if conn, err = net.DialTimeout("tcp4", address, time.Until(until)); err != nil {
-			return err, false
+			return gate, false, unheard(err)
 		}
 		_ = conn.SetDeadline(until)
-		if _, err := conn.Write(pgwire.AppendStartup(nil, "user", "lab", "database", "lab")); err != nil {
-			conn.Close()
-			return err, false
+		if _, err = conn.Write(pgwire.AppendStartup(nil, "user", "lab", "database", "lab")); err == nil {
+			err = ready(bufio.NewReaderSize(conn, 512))
 		}
-		if err := ready(bufio.NewReaderSize(conn, 512)); err != nil {
+		if err != nil {
 			conn.Close()
-			return err, false
+			return gate, false, unheard(err)
 		}
 	}
 	_ = conn.SetDeadline(until.Add(l.Slack))
@@ -174,20 +201,36 @@
 	if c.Write {
 		text = fmt.Sprintf("/* id=%d,c=%s,d=%d,cluster=%d */ INSERT INTO objects (oid, body) VALUES ('k', 'v') RETURNING body", id, c.Name, time.Until(until).Milliseconds(), group)
 	}
+	asked := time.Now()
 	_, err = conn.Write(pgwire.AppendQuery(nil, text))
 	if err == nil {
 		err = ready(bufio.NewReader(conn))
 	}
 	if err != nil && !errors.Is(err, ErrRefused) {
 		conn.Close()
-		return err, rested && !isTimeout(err)
+		if rested {
+			return gate, !isTimeout(err) && time.Since(asked) < crossing, err
+		}
+		return gate, false, unheard(err)
 	}
 	l.mu.Lock()
 	l.idle[gate] = append(l.idle[gate], conn)
 	l.mu.Unlock()
-	return err, false
+	return gate, false, err
 }
 
+// unheard is the outcome of a new connection that brought no answer.
+func unheard(err error) error {
+	if isTimeout(err) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrClosed, err)
+}
+
+// crossing is how long after a request was written the close of a connection that rested may have crossed it. One that
+// comes later took a request that the gateway had.
+const crossing = 100 * time.Millisecond
+
 func isTimeout(err error) bool {
 	var t net.Error
 	return errors.As(err, &t) && t.Timeout()
--- a/internal/lab/tier/plan.go
+++ b/internal/lab/tier/plan.go
@@ -18,12 +18,13 @@
 
 // The faults. A stop is by SIGSTOP, and ends by SIGCONT; a kill ends by a new start.
 const (
-	Stop  Fault = "stop"
-	Kill  Fault = "kill"
-	Cut   Fault = "cut"   // nothing comes from the gateway, or nothing to it, or both
-	Late  Fault = "late"  // what comes to the gateway takes longer
-	Lossy Fault = "lossy" // one datagram in five to the gateway is lost, one in twenty comes twice
-	Join  Fault = "join"  // the gateway's list shows the last host of each group, which was not in it
+	Stop    Fault = "stop"
+	Kill    Fault = "kill"
+	Restart Fault = "restart" // SIGTERM, SIGKILL where the program goes on for longer than it may, and a new start
+	Cut     Fault = "cut"     // nothing comes from the gateway, or nothing to it, or both
+	Late    Fault = "late"    // what comes to the gateway takes longer
+	Lossy   Fault = "lossy"   // one datagram in five to the gateway is lost, one in twenty comes twice
+	Join    Fault = "join"    // the gateway's list shows the last host of each group, which was not in it
 )
 
 // Event is one fault.
@@ -38,7 +39,7 @@
 }
 
 // Plans are the names that MakePlan takes.
-var Plans = []string{"none", "stall", "late", "cut", "loss", "kill", "roll", "join"}
+var Plans = []string{"none", "stall", "late", "cut", "loss", "kill", "roll", "restart", "join"}
 
 // MakePlan returns the faults of a run by name. The same arguments give the same events.
 func MakePlan(name string, seed uint64, gateways int, run time.Duration) ([]Event, error) {
@@ -75,6 +76,11 @@
 		for i, g := range half {
 			events = append(events, Event{AtMS: from + span*int64(i)/int64(len(half)), ForMS: 100 + r.Int64N(200), Gate: g, Fault: Kill})
 		}
+	case "restart": // all, a tenth at a time; the front sends new connections for so long after the signal
+		for i, g := range order {
+			tenth := int64(i * 10 / len(order))
+			events = append(events, Event{AtMS: from + span*tenth/10, ForMS: 200 + r.Int64N(200), Gate: g, Fault: Restart})
+		}
 	case "join": // everybody hears of the new hosts, each in its own time
 		for _, g := range order {
 			events = append(events, Event{AtMS: from + r.Int64N(span/4+1), ForMS: 1, Gate: g, Fault: Join})
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,8 +30,10 @@
 	Plan     string
 	Use      float64 // part of what the hosts can do that is asked for
 	Policy   string  // "": the program as it is; "random": gateways tell one another nothing; "before": a Program of another version
-	Break    string  // "blind-herd": all go to the host that was told to be least loaded; "subset-fixed": to the same part of the hosts
-	Log      func(format string, a ...any)
+	// "blind-herd": all go to the host that was told to be least loaded; "subset-fixed": to the same part of the hosts;
+	// "abrupt": a planned restart gives no time to end.
+	Break string
+	Log   func(format string, a ...any)
 }
 
 // Result of a run.
@@ -44,8 +47,11 @@
 	Requests     int     `json:"requests"`
 	Lost         int     `json:"lost"` // no answer from a gateway that was neither stopped nor killed meanwhile
 	Disturbed    int     `json:"disturbed"`
-	Late         int     `json:"late"`    // answered after their time
-	InTime       float64 `json:"in_time"` // of all, by worth
+	Late         int     `json:"late"`       // answered after their time
+	ClosedNew    int     `json:"closed_new"` // connections that were closed before their first answer; they count as refused
+	SentAgain    int     `json:"sent_again"` // requests that met the end of a connection that had rested
+	Killed       int     `json:"killed"`     // gateways that had not ended by themselves when they had to
+	InTime       float64 `json:"in_time"`    // of all, by worth
 	Refused      int     `json:"refused"`
 	Spread       Spread  `json:"spread"`
 	PeerBytes    float64 `json:"peer_bytes_per_request"`
@@ -120,7 +126,8 @@
 	cmd                  *exec.Cmd
 	gone                 chan struct{}
 	killed               bool
-	hurt                 []span // when it was stopped or dead
+	away                 atomic.Bool // the front sends no new connections
+	hurt                 []span      // when it was stopped or dead
 }
 
 type span struct{ from, to time.Time }
@@ -183,9 +190,9 @@
 	switch t.Break {
 	case "blind-herd":
 		spoil = blind
-	case "", "subset-fixed":
+	case "", "subset-fixed", "abrupt":
 	default:
-		return fmt.Errorf("break %q: there are blind-herd and subset-fixed", t.Break)
+		return fmt.Errorf("break %q: there are blind-herd, subset-fixed and abrupt", t.Break)
 	}
 	switch t.Policy {
 	case "", "random", "before":
@@ -284,10 +291,10 @@
 	return nil
 }
 
-// ready waits until all gateways take connections.
-func (t *stage) ready(ctx context.Context) error {
-	for i, g := range t.gates {
-		for {
+// ready waits until gateways take connections.
+func (t *stage) ready(ctx context.Context, gates ...int) error {
+	for _, i := range gates {
+		for g := t.gates[i]; ; {
 			c, err := net.DialTimeout("tcp4", g.listen, time.Second)
 			if err == nil {
 				c.Close()
@@ -308,12 +315,17 @@
 func (t *stage) play(ctx context.Context) error {
 	up, cancel := context.WithTimeout(ctx, 30*time.Second)
 	defer cancel()
-	if err := t.ready(up); err != nil {
+	var all []int
+	for i := range t.gates {
+		all = append(all, i)
+	}
+	if err := t.ready(up, all...); err != nil {
 		return err
 	}
 	// What a request costs at a host, on the mean, and what the replicas and primaries of all groups can do.
 	rate := t.Use * float64(t.res.Hosts*cores) / work.Seconds()
-	load := &standin.Load{Address: t.gates[0].listen, Groups: t.res.Hosts / t.Members, Rate: rate, Seed: t.Seed, Slack: slack}
+	load := &standin.Load{Address: t.gates[0].listen, Groups: t.res.Hosts / t.Members, Rate: rate, Seed: t.Seed, Slack: slack,
+		Away: func(gate int) bool { return t.gates[gate].away.Load() }}
 	for _, g := range t.gates[1:] {
 		load.Others = append(load.Others, g.listen)
 	}
@@ -332,6 +344,7 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
+	t.res.SentAgain = load.SentAgain()
 	t.judge(samples)
 	return nil
 }
@@ -358,6 +371,9 @@
 		if err := t.start(e.Gate); err != nil {
 			t.Log("%v", err)
 		}
+	case Restart:
+		t.restart(e.Gate, g, stay)
+		return // what it has taken is to be answered
 	case Join:
 		t.discos[e.Gate].Tell(t.list)
 		return
@@ -374,6 +390,41 @@
 	t.mu.Unlock()
 }
 
+// restart ends a gateway as planned: clients send on connections that stay open until it is gone, and new ones for a while.
+func (t *stage) restart(i int, g *gate, front time.Duration) {
+	told, sig := time.Now(), syscall.SIGTERM
+	if t.Break == "abrupt" {
+		sig = syscall.SIGKILL
+	}
+	_ = g.cmd.Process.Signal(sig)
+	wait(context.Background(), front)
+	g.away.Store(true)
+	longest := time.Duration(0)
+	for _, c := range standin.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	select {
+	case <-g.gone:
+	case <-time.After(time.Until(told.Add(longest + 700*time.Millisecond))):
+		t.mu.Lock()
+		t.res.Killed++
+		t.mu.Unlock()
+		_ = g.cmd.Process.Kill()
+		<-g.gone
+	}
+	if err := t.start(i); err != nil {
+		t.Log("%v", err)
+		return
+	}
+	up, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := t.ready(up, i); err != nil {
+		t.Log("%v", err)
+		return
+	}
+	g.away.Store(false)
+}
+
 // wait pauses, and tells whether the run still goes on.
 func wait(ctx context.Context, d time.Duration) bool {
 	select {
@@ -394,11 +445,16 @@
 			r.Late++
 		}
 		asked += s.Asked()
+		hurt := slices.ContainsFunc(t.gates[s.Gate].hurt, func(h span) bool { return s.At.Before(h.to) && s.At.Add(s.Took).After(h.from) })
+		closed := errors.Is(s.Err, standin.ErrClosed)
+		if closed && !hurt {
+			r.ClosedNew++
+		}
 		switch {
 		case s.Err == nil:
-		case errors.Is(s.Err, standin.ErrRefused):
+		case errors.Is(s.Err, standin.ErrRefused) && !(closed && hurt):
 			r.Refused++
-		case slices.ContainsFunc(t.gates[s.Gate].hurt, func(h span) bool { return s.At.Before(h.to) && s.At.Add(s.Took).After(h.from) }):
+		case hurt:
 			r.Disturbed++
 		default:
 			r.Lost++
@@ -460,6 +516,8 @@
 		"more herds than chance and half as many":    r.Spread.HerdWindows > r.HerdsAtMost,
 		"twice as uneven over a second as by chance": r.Spread.CV1s > r.CVAtMost,
 		"gateways ended by themselves or were left":  r.Died > 0 || r.Left > 0,
+		"gateways told to end did not in time":       r.Killed > 0,
+		"one new connection in 200 got no answer":    r.ClosedNew*200 > r.Requests,
 	} {
 		if bad {
 			faults = append(faults, what)
--- a/internal/lab/tier/tier_test.go
+++ b/internal/lab/tier/tier_test.go
@@ -64,8 +64,9 @@
 	}
 }
 
-// Four real processes, of which one is stopped for a while, one can't hear or can't be heard, or all hear of new hosts at
-// different times: nothing is lost, and no host is idle. One that nobody knows of is found to be.
+// Four real processes, of which one is stopped for a while, one can't hear or can't be heard, all hear of new hosts at
+// different times, or all are restarted in turn while clients send: nothing is lost, and no host is idle. A host that
+// nobody knows of is found to be, and so is what a gateway loses that gets no time to end.
 func TestFourProcesses(t *testing.T) {
 	dir := t.TempDir()
 	if out, err := exec.Command("go", "build", "-o", dir, "cloverrock/cmd/cloverrock").CombinedOutput(); err != nil {
@@ -73,7 +74,7 @@
 	}
 	for _, c := range []struct {
 		plan, spoilt string
-	}{{"stall", ""}, {"cut", ""}, {"join", ""}, {"none", "subset-fixed"}} {
+	}{{"stall", ""}, {"cut", ""}, {"join", ""}, {"restart", ""}, {"none", "subset-fixed"}, {"restart", "abrupt"}} {
 		t.Run(c.plan+c.spoilt, func(t *testing.T) {
 			t.Parallel()
 			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
@@ -83,7 +84,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if res.Lost > 0 || res.Died > 0 || (res.Spread.IdleSeconds > 0) != (c.spoilt != "") || res.Requests < 300 ||
+			hurt := res.Lost > 0 || res.Died > 0 || res.Killed > 0 || res.ClosedNew*200 > res.Requests
+			idle := c.spoilt != "abrupt" && res.Spread.IdleSeconds > 0
+			if hurt != (c.spoilt == "abrupt") || idle != (c.spoilt == "subset-fixed") || res.Requests < 300 ||
 				c.plan == "cut" && res.PeerLost == 0 {
 				t.Errorf("%+v", res)
 			}
