Ask an agent for the whole list by a call of its own before the watch

Cause: a new process asked for the watch from generation 0 in order to hear the whole list, and was told changes alone. Ruled out: the HTTP client (lists were taken, no watch ended, no warning was logged).

Now GET /api/targets is asked first and the watch goes on from its generation. TestWholeFirst.

--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -88,11 +88,8 @@
 	// Where an agent on this machine holds the list, all that it holds counts as told from the first moment: the whole
 	// list is asked for, and the known one, which may be older, is gone by only if no answer comes.
 	asks := known && !conf.Settings.Subscribe && p.list > 0
-	if asks {
-		generation = 0
-	}
 	s.watch = discovery.New(s.loop, discovery.Config{
-		Address: conf.Discovery, Names: conf.Names, Generation: generation, Known: known,
+		Address: conf.Discovery, Names: conf.Names, Generation: generation, Known: known, Whole: asks || !known && !conf.Settings.Subscribe,
 		Retry: discovery.NewRetry(conf.Gateways, conf.Settings.Subscribe, conf.Seed),
 		Told:  s.listed, Failed: func(*discovery.WatchError) { s.gateway.ListFailed() }, Log: log,
 	})
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -25,8 +25,11 @@
 type Config struct {
 	Address    string
 	Names      Names
-	Generation int64 // of the list to go on from; 0: from none, the whole list is asked for
+	Generation int64 // of the list to go on from
 	Known      bool  // there is a list to go on with while the first call waits
+	// Whole has the whole list asked for by a call of its own before the watch: what a watch tells first are the changes
+	// since a generation, and of the list that they belong to a new process may know nothing, or what is long past.
+	Whole bool
 	Retry      *Retry
 	Told       func(List) // on the loop's goroutine, like Failed
 	Failed     func(*WatchError)
@@ -63,7 +66,7 @@
 
 // Fetch asks for the whole list anew.
 func (w *Watch) Fetch() {
-	w.Generation = 0
+	w.Whole = true
 	w.connect()
 }
 
@@ -120,6 +123,9 @@
 		alive: func() { w.loop.Post(func() { w.lives(n) }) },
 	}
 	url := fmt.Sprintf("http://%s/api/targets?stream=1&index=%d", address, w.Generation)
+	if w.Whole {
+		url = fmt.Sprintf("http://%s/api/targets", address)
+	}
 	go func() {
 		err := s.follow(ctx, w.transport, url)
 		hang(nil)
@@ -137,9 +143,14 @@
 
 // told takes a list of the current call.
 func (w *Watch) told(call int, l List) {
-	if call == w.call {
-		w.Generation = l.Generation
-		w.Told(l)
+	if call != w.call {
+		return
+	}
+	w.Generation, l.Full = l.Generation, l.Full || w.Whole
+	w.Told(l)
+	if w.Whole {
+		w.Whole = false
+		w.connect()
 	}
 }
 
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -60,7 +60,7 @@
 	return <-c
 }
 
-func play(t *testing.T, retry *Retry, generation int64, f func(*scene)) {
+func play(t *testing.T, retry *Retry, generation int64, f func(*scene), change ...func(*Watch)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &scene{calls: make(chan *answer, 64), lists: make(chan List, 64), start: time.Now(), loop: loop.New(64, 1<<20, zerolog.Nop())}
@@ -79,6 +79,9 @@
 				}()
 				return mine, nil
 			}})
+		for _, f := range change {
+			f(s.w)
+		}
 		done := make(chan struct{})
 		go func() { defer close(done); s.loop.Run() }()
 		s.loop.Post(s.w.Subscribe)
@@ -244,6 +247,23 @@
 	}
 }
 
+// Where the whole list is wanted first, it is asked for by itself, and then watched from its generation on; so after a
+// call for it that failed.
+func TestWholeFirst(t *testing.T) {
+	play(t, NewRetry(1, false, 1), 7, func(s *scene) {
+		(<-s.calls).say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+		a := <-s.calls
+		if a.request != "/api/targets" {
+			t.Errorf("asked %s", a.request)
+		}
+		a.say(head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(wide), wide))
+		<-s.lists
+		if b := <-s.calls; b.request != "/api/targets?stream=1&index=41" {
+			t.Errorf("asked %s", b.request)
+		}
+	}, func(w *Watch) { w.Whole = true })
+}
+
 // What comes on a call that was given up for one to another address is not told.
 func TestMoves(t *testing.T) {
 	play(t, NewRetry(1, false, 1), 7, func(s *scene) {
