--- a/balance/work_test.go
+++ b/balance/work_test.go
@@ -1,6 +1,10 @@
 package balance
 
-import "testing"
+import (
+	"fmt"
+	"math"
+	"testing"
+)
 
 // unequal is a deployment whose reads of any age take fifteen times the work of others.
 func unequal() Settings {
@@ -135,3 +139,56 @@
 		}
 	}
 }
+
+// What all routers together send a host that has just started stays under what lets it fall over: more than N + 3 x root
+// of N + 3 requests of mean work in the stated time, N being what it may have then. A fifth more is asked than
+// warm hosts could do.
+func TestColdBoundByNumberOfRouters(t *testing.T) {
+	for _, d := range []struct {
+		name     string
+		cold     func(*Settings)
+		capacity float64 // of a warm host, requests a second
+	}{
+		{"regina", func(s *Settings) { s.ColdFrom, s.ColdFor, s.FallMultiple, s.FallFor = 0.25, 16000*ms, 4, 1500*ms }, 66},
+		{"karbejelentes", func(s *Settings) { s.ColdFrom, s.ColdFor, s.FallMultiple, s.FallFor = 0.17, 14000*ms, 2.5, 1000*ms }, 40},
+	} {
+		for _, routers := range []int{1, 3, 80, 300} {
+			t.Run(fmt.Sprintf("%s, %d routers", d.name, routers), func(t *testing.T) {
+				t.Parallel()
+				const use = 1.2
+				set := fleetSettings(routers)
+				d.cold(&set)
+				const hosts = 5
+				f := newFleet(t, set, entries(hosts)...)
+				every := int64(1e6 / (use * d.capacity * hosts))
+				f.run(8000*ms, loose, every)
+				var sent []int64
+				cold := entries(hosts)[hosts-1]
+				cold.Born = f.now
+				f.took = func(h string, _ int) (int64, Result) {
+					if h == cold.Host {
+						sent = append(sent, f.now)
+					}
+					return 50 * ms, Served
+				}
+				for i := range f.routers {
+					f.tell(i, Event{Kind: ListEvent, Entries: []Entry{cold}})
+				}
+				f.run(set.ColdFor, loose, every)
+				worst, first := 0.0, 0
+				for i, at := range sent {
+					for at-sent[first] >= set.FallFor {
+						first++
+					}
+					from := max(at-set.FallFor, cold.Born)
+					ramp := set.ColdFrom + (1-set.ColdFrom)*float64(from-cold.Born)/float64(set.ColdFor)
+					n := set.FallMultiple * ramp * d.capacity * float64(set.FallFor) / 1e6
+					worst = max(worst, float64(i-first+1)/(n+3*math.Sqrt(n)+3))
+				}
+				if worst > 0.9 || len(sent) == 0 {
+					t.Errorf("%d sent, at most %.2f of what it bears", len(sent), worst)
+				}
+			})
+		}
+	}
+}
