Leave a host with a full queue alone for longer the more gateways there are

A gateway that was turned away now rests up to about root of N times 0.1 s, as probes and searches do already; alone, as before.

--- a/balance/api.go
+++ b/balance/api.go
@@ -74,6 +74,12 @@
 	TellEarn float64 // bytes to other routers, counted for each of them, that a request pays for
 }
 
+// View is what a fleet has agreed on. It is asked while a decision is taken, so it answers at once, and nothing that it
+// says loosens a rule: it only takes hosts out of a choice that has others.
+type View interface {
+	Share(zone int) float64 // part of reads that a zone's replicas may get, from 0 to 1
+}
+
 // Phase is what the list says of a host.
 type Phase uint8
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -145,6 +145,7 @@
 	tokens          [2]map[int64]int64 // commits of sessions, by age
 	turnedAt, floor int64
 	news            *gossip.State // what routers tell one another
+	view            View          // what they have agreed on; nil: nothing
 }
 
 // New returns a router for the given settings; the seed feeds its own random numbers.
@@ -224,11 +225,8 @@
 	return int64((0.5 + r.chance()) * math.Sqrt(float64(r.set.Gateways)) * float64(wait))
 }
 
-// random returns a number below n, or 0.
-func (r *Router) random(n int) int { return int(r.rand.Below(int64(n))) }
-
 // chance returns a number from 0 on and below 1.
-func (r *Router) chance() float64 { return float64(r.random(1<<30)) / (1 << 30) }
+func (r *Router) chance() float64 { return float64(r.rand.Below(1<<30)) / (1 << 30) }
 
 // mix moves a running mean towards a new value; the first value is the mean.
 func mix(mean *float64, value, weight float64) {
@@ -238,14 +236,12 @@
 	*mean += weight * (value - *mean)
 }
 
-// ---- What we know of a host ----
-
 // takeList applies the list. A host told to drain, or gone, gets nothing from that moment on: the grace of
 // the drain rule is slack, not a plan. A new start makes a host cold.
 func (r *Router) takeList(ev *Event) {
 	if ev.Failed {
 		r.askWait = min(max(2*r.askWait, 20*r.period()), 200*r.period())
-		r.askAt = r.now + r.askWait/2 + int64(r.random(int(r.askWait)))
+		r.askAt = r.now + r.askWait/2 + r.rand.Below(r.askWait)
 		return
 	}
 	r.askWait, r.askAt = 0, 0
@@ -465,8 +461,6 @@
 	}
 }
 
-// ---- What we know of a group ----
-
 // learnRole weighs evidence of role: the later wins, also between two hosts that both claim to be primary.
 func (r *Router) learnRole(h *host, role Role, at int64) {
 	if at < h.roleAt {
@@ -536,8 +530,6 @@
 	}
 }
 
-// ---- Requests ----
-
 func (r *Router) request(ev *Event) {
 	// A group that no list has named has no host to wait for, and anyone may ask for any number of such.
 	i, known := r.findGroup(ev.Group)
@@ -573,8 +565,7 @@
 }
 
 // hold puts a request among those that wait: late ones last, dearest first, then newest first; with more
-// asked than can be served, oldest first would send each with too little time left, and serve none. Of late
-// ones, which earn the same until their client leaves, the one that leaves first goes first.
+// asked than can be served, oldest first would send each with too little time left, and serve none.
 func (r *Router) hold(q *request) {
 	if r.over(q) {
 		r.giveUp(q)
@@ -586,11 +577,9 @@
 }
 
 func (r *Router) before(a, b *request) int {
-	worth := cmp.Compare(b.class.Worth/r.cost[b.kind], a.class.Worth/r.cost[a.kind]) // for the time taken
-	if a.late > 0 && b.late > 0 {
-		return cmp.Or(worth, cmp.Compare(a.until, b.until))
-	}
-	return cmp.Or(cmp.Compare(a.late, b.late), worth, cmp.Compare(b.aimAt, a.aimAt))
+	return cmp.Or(cmp.Compare(a.late, b.late),
+		cmp.Compare(b.class.Worth/r.cost[b.kind], a.class.Worth/r.cost[a.kind]), // for the time taken
+		cmp.Compare(b.aimAt, a.aimAt))
 }
 
 // dispatch sends what can be sent of the requests that wait.
@@ -650,8 +639,6 @@
 	return q.class.Need != Recent || r.set.HostsCheck || q.at.been || q.at.pos >= now-q.class.Bound
 }
 
-// ---- Reads ----
-
 // reader picks among the replicas whose known position suffices the less busy of two drawn at random; near
 // ties stay in the zone where crossing has a price. Without one it draws, where hosts check reads, among all
 // that by their lag of late should be fresh enough, or else asks, and takes the primary last.
@@ -671,7 +658,7 @@
 	var a, b *host
 	ka, kb, known, busy := 0.0, 0.0, false, false
 	for _, m := range g.members {
-		if m == g.primary && g.sure || m == q.last && len(g.members) > 2 {
+		if m == g.primary && g.sure || m == q.last && len(g.members) > 2 || r.view != nil && r.left(q, m) {
 			continue
 		}
 		suffices := m.pos >= need
@@ -720,13 +707,21 @@
 	return p
 }
 
+// left tells whether a read keeps from a host in a zone that the fleet has left, where its group has another.
+func (r *Router) left(q *request, h *host) bool {
+	elsewhere := func(m *host) bool {
+		return m != h.group.primary && m.cond == up && !m.bound && r.view.Share(m.zone) == 1
+	}
+	return math.Mod(q.luck*1024, 1) >= r.view.Share(h.zone) && slices.ContainsFunc(h.group.members, elsewhere)
+}
+
 // ask probes two replicas at random for a read that finds none known to suffice, and lets it wait for what
 // they say. Where traffic is thin, what is known is old at every request; probing ahead of need costs more.
 func (r *Router) ask(q *request) bool {
 	if r.now >= q.askUntil+3*r.pace() {
 		q.askUntil = r.now
 		g, asked := q.group, 0
-		for i, start := 0, r.random(len(g.members)); i < len(g.members) && asked < 2; i++ {
+		for i, start := 0, int(r.rand.Below(int64(len(g.members)))); i < len(g.members) && asked < 2; i++ {
 			m := g.members[(start+i)%len(g.members)]
 			if m.cond == up && m != g.primary &&
 				(m.probing || r.now-m.probedAt < r.pace() || r.probe(m, 1)) {
@@ -767,8 +762,6 @@
 	return h
 }
 
-// ---- Outcomes ----
-
 func (r *Router) outcome(ev *Event) {
 	h, q := r.hosts[ev.Host], r.reqs[ev.Request]
 	if h == nil {
@@ -836,8 +829,8 @@
 			h.refusals, r.keep = 0, min(2*r.keep, keepIdle)
 		}
 		if ev.Result == Full || h.refusals > 1 {
-			h.rest = min(max(2*h.rest, r.period()), r.pace())
-			h.restUntil = r.now + h.rest/2 + int64(r.random(int(h.rest)))
+			h.rest = min(max(2*h.rest, r.period()), r.apart(r.pace())) // all come back to a full queue
+			h.restUntil = r.now + h.rest/2 + r.rand.Below(h.rest)
 		}
 		if ev.Result != Full {
 			h.open = false
@@ -881,7 +874,7 @@
 	if q.ranAt == 0 || q.class.Repeat == Safe || q.class.Repeat == Keyed && q.class.Scope == ScopeAll {
 		after := min(q.class.Aim/2, r.set.MaxRetryAfter)
 		if q.spared { // to come back at once would undo it
-			after = r.set.MaxRetryAfter - int64(r.random(int(r.set.MaxRetryAfter/8)))
+			after = r.set.MaxRetryAfter - r.rand.Below(r.set.MaxRetryAfter/8)
 		}
 		r.act(Action{Kind: RefuseAction, Request: q.id, RetryAfter: after})
 	} else {
@@ -898,8 +891,6 @@
 	}
 }
 
-// ---- Upkeep ----
-
 func (r *Router) upkeep() {
 	if r.set.Subscribe && r.askAt != 0 && r.now >= r.askAt {
 		r.askAt = 0
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -43,6 +43,9 @@
 	keyedAll
 )
 
+// random returns a number below n, or 0.
+func (r *Router) random(n int) int { return int(r.rand.Below(int64(n))) }
+
 // rig drives a router and keeps what it did.
 type rig struct {
 	t    *testing.T
--- a/balance/facts.go
+++ b/balance/facts.go
@@ -95,3 +95,6 @@
 	}
 	return r.acts
 }
+
+// Follow has the router go by what a fleet agrees on from now on; nil: by nothing.
+func (r *Router) Follow(v View) { r.view = v }
--- a/balance/facts_test.go
+++ b/balance/facts_test.go
@@ -56,3 +56,46 @@
 		t.Errorf("a host that answers again gets nothing: %+v", a)
 	}
 }
+
+// zones is a view of shares.
+type zones map[int]float64
+
+func (z zones) Share(zone int) float64 { return z[zone] }
+
+// Of a zone that is left in part, that part of the reads goes to its replicas; none is kept from a group that has no other,
+// writes go where the primary is, and no read goes to a replica that is too old for it.
+func TestLeftZoneIsSpared(t *testing.T) {
+	e := trio()
+	e[1].Zone, e[2].Zone = 1, 2
+	for _, share := range []float64{0, 0.2, 1} {
+		g := newRig(t, testSettings(), e...)
+		g.reportAll(g.now)
+		g.r.Follow(zones{0: 1, 1: share, 2: 1})
+		sent := map[string]int{}
+		for range 400 {
+			g.now += 20 * ms
+			id, acts := g.ask(loose)
+			h := sentTo(acts, id)
+			sent[h]++
+			g.answer(id, h, Served, Replica, g.now)
+		}
+		if got := float64(sent["b"]) / 400; got > share/2+0.06 || got < share/2-0.06 {
+			t.Errorf("share %.1f: %v", share, sent)
+		}
+	}
+	g := newRig(t, testSettings(), e...)
+	g.reportAll(g.now)
+	g.r.Follow(zones{0: 0, 1: 0, 2: 0})
+	if id, acts := g.ask(loose); sentTo(acts, id) == "" {
+		t.Error("a group that lies in zones that are all left gets no reads")
+	}
+	if id, acts := g.ask(unsafe); sentTo(acts, id) != "a" {
+		t.Error("a write does not go to the primary of a zone that is left")
+	}
+	g.r.Follow(zones{0: 1, 1: 0, 2: 1})
+	g.now += 5000 * ms
+	g.report("b", false, g.now)
+	if id, acts := g.ask(recent); sentTo(acts, id) == "c" {
+		t.Error("a read went to a replica that is too old")
+	}
+}
--- a/internal/app/commands.go
+++ b/internal/app/commands.go
@@ -17,6 +17,7 @@
 	"cloverrock/balance"
 	"cloverrock/internal/config"
 	"cloverrock/internal/discovery"
+	"cloverrock/internal/gateway"
 )
 
 // Exit codes.
@@ -58,6 +59,10 @@
 	Learned() (balance.Facts, discovery.List, bool)
 	// Believe gives it what another has learned, and a list if that is younger than its own; nil: none.
 	Believe(balance.Facts, *discovery.List)
+	// Watch has f told how each attempt and probe ended, on the gateway's own goroutine: it may not wait.
+	Watch(f func(host string, class int, o gateway.Outcome))
+	// Follow has the gateway go by what a fleet agrees on.
+	Follow(balance.View)
 }
 
 // Main carries out a command and returns the exit code.
--- a/internal/app/counts.go
+++ b/internal/app/counts.go
@@ -20,12 +20,15 @@
 		return
 	}
 	hosts := map[string]*tally{}
-	s.gateway.Watched = func(host string, o gateway.Outcome) {
+	s.gateway.Watch(func(host string, class int, o gateway.Outcome) {
+		if class == gateway.ProbeClass {
+			return
+		}
 		if hosts[host] == nil {
 			hosts[host] = &tally{}
 		}
 		hosts[host].add(o)
-	}
+	})
 	last, dials, broken := s.gateway.Counts(), 0, 0
 	var again func()
 	again = func() {
--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -162,6 +162,14 @@
 	})
 }
 
+// Watch implements Gateway.
+func (s *server) Watch(f func(host string, class int, o gateway.Outcome)) {
+	s.loop.Post(func() { s.gateway.Watch(f) })
+}
+
+// Follow implements Gateway.
+func (s *server) Follow(v balance.View) { s.loop.Post(func() { s.gateway.Follow(v) }) }
+
 // signals follows the operators' signals until the program ends.
 func (s *server) signals(c <-chan os.Signal, reread func() (*config.Config, error)) {
 	for sig := range c {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -29,12 +29,12 @@
 	Known      bool  // there is a list to go on with while the first call waits
 	// Whole has the whole list asked for by a call of its own before the watch: what a watch tells first are the changes
 	// since a generation, and of the list that they belong to a new process may know nothing, or what is long past.
-	Whole bool
-	Retry      *Retry
-	Told       func(List) // on the loop's goroutine, like Failed
-	Failed     func(*WatchError)
-	Dial       func(ctx context.Context, network, address string) (net.Conn, error) // nil: TCP
-	Log        zerolog.Logger
+	Whole  bool
+	Retry  *Retry
+	Told   func(List) // on the loop's goroutine, like Failed
+	Failed func(*WatchError)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error) // nil: TCP
+	Log    zerolog.Logger
 }
 
 // Watch follows the list by one call at a time, and calls again when that ends. The last list holds until a new one
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,8 +107,7 @@
 	acts    []balance.Action
 	running bool
 
-	// Watched is told each attempt's host and end, if it is set.
-	Watched func(host string, o Outcome)
+	watch []func(host string, class int, o Outcome)
 }
 
 // live is a request that is owed an answer, or whose attempt is still out.
@@ -182,8 +181,8 @@
 	}
 	q.out = false
 	g.counts.Outcomes[o.Result]++
-	if g.Watched != nil {
-		g.Watched(a.Host, o)
+	for _, f := range g.watch {
+		f(a.Host, q.Class, o)
 	}
 	if o.Result == balance.Served && !q.over {
 		q.Client.Serve(o.Value)
@@ -204,6 +203,9 @@
 	if !o.Result.Answered() {
 		g.counts.ProbesFailed++
 	}
+	for _, f := range g.watch {
+		f(host, ProbeClass, o)
+	}
 	g.tell(balance.Event{Kind: balance.ProbedEvent, Host: host, Result: o.Result, Took: o.Took, Report: o.Report})
 }
 
@@ -222,6 +224,15 @@
 	g.tell(balance.Event{Kind: balance.PeerEvent, Peer: peer, Data: data})
 }
 
+// ProbeClass stands for a probe where a request's class is told.
+const ProbeClass = -1
+
+// Watch has f told each attempt's and probe's host, class and end. It may not wait.
+func (g *Gateway) Watch(f func(host string, class int, o Outcome)) { g.watch = append(g.watch, f) }
+
+// Follow has the module go by what a fleet agrees on.
+func (g *Gateway) Follow(v balance.View) { g.router.Follow(v) }
+
 // Facts is what the module knows and a fresh one would need.
 func (g *Gateway) Facts() balance.Facts { return g.router.Facts() }
 
--- a/internal/storecli/daemon_test.go
+++ b/internal/storecli/daemon_test.go
@@ -18,6 +18,7 @@
 	"cloverrock/internal/app"
 	"cloverrock/internal/config"
 	"cloverrock/internal/discovery"
+	gatewaypkg "cloverrock/internal/gateway"
 	"cloverrock/internal/lab/loopback"
 	"cloverrock/internal/learned"
 	"cloverrock/internal/settings"
@@ -52,6 +53,9 @@
 	return g.facts, g.list.Clone(), true
 }
 
+func (g *gateway) Watch(func(string, int, gatewaypkg.Outcome)) {}
+func (g *gateway) Follow(balance.View)                         {}
+
 func (g *gateway) Believe(f balance.Facts, l *discovery.List) {
 	g.mu.Lock()
 	if l != nil {
