--- a/balance/balance.go
+++ b/balance/balance.go
@@ -829,7 +829,7 @@
 			h.refusals, r.keep = 0, min(2*r.keep, keepIdle)
 		}
 		if ev.Result == Full || h.refusals > 1 {
-			h.rest = min(max(2*h.rest, r.period()), r.apart(r.pace())) // all come back to a full queue
+			h.rest = min(max(2*h.rest, r.period()), r.pace())
 			h.restUntil = r.now + h.rest/2 + r.rand.Below(h.rest)
 		}
 		if ev.Result != Full {
--- a/internal/lab/tier/zone.go
+++ b/internal/lab/tier/zone.go
@@ -32,7 +32,7 @@
 }
 
 // ZonePlans are the names that ZonePlan takes.
-var ZonePlans = []string{"none", "host", "group", "lost", "flap", "two", "stall", "split", "cutoff"}
+var ZonePlans = []string{"none", "host", "group", "lost", "loss", "flap", "two", "stall", "split", "cutoff"}
 
 // coldFor is how long a host that came back takes to be warm.
 const coldFor = 4 * time.Second
@@ -48,7 +48,7 @@
 	lost := Outage{0, from, long}
 	switch name {
 	case "none", "host", "group":
-	case "lost":
+	case "lost", "loss": // of the second, one datagram in five between gateways is lost as well
 		bad = []Outage{lost}
 	case "flap": // and again in the middle of the return
 		bad = []Outage{lost, {0, from + long + 9000, 3000}}
