--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -21,8 +21,14 @@
 		`{"store":{` + good + `,"tick_ms":"fast"}}`:                    "store.tick_ms",
 		`{"store":{` + good + `,"routes":{"b":"nowhere"}}}`:            "store.routes",
 		`{"learned":{}}`: "store",
-		`{"stor":{}}`:    "stor",
-		`{"store":`:      "not JSON",
+		`{"fleet":{"listen":"10.0.0.1:7947","join":["10.0.0.2:7947"],"zones":{"pin":{"a":"left"}}}}`: "",
+		`{"fleet":{"zones":{}}}`:      "fleet",
+		`{"fleet":{"listen":"here"}}`: "fleet.listen",
+		`{"fleet":{"listen":"10.0.0.1:7947","zones":{"pin":{"a":"gone"}}}}`:       "fleet.zones.pin",
+		`{"fleet":{"listen":"10.0.0.1:7947","zones":{"step_ms":1}}}`:              "fleet.zones.step_ms",
+		`{"fleet":{"listen":"10.0.0.1:7947","zones":{"without":["everything"]}}}`: "fleet.zones.without",
+		`{"stor":{}}`: "stor",
+		`{"store":`:   "not JSON",
 	} {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
