Find a busy zone that falls silent sooner, and reckon what the others bear from their calm

What the others bear follows from what answers take now and took at the least (processor sharing), not in proportion.

--- a/internal/zonal/sight.go
+++ b/internal/zonal/sight.go
@@ -29,6 +29,7 @@
 	failed float64
 	used   float64 // of the aim, on the mean of those that were served
 	at     int64
+	okAt   int64 // when it last did well
 }
 
 // End is how an attempt or probe ended.
@@ -70,6 +71,7 @@
 		h.failed++
 	} else {
 		h.ok++
+		h.okAt = e.At
 		if e.Used > 0 {
 			h.used += (e.Used - h.used) / min(h.ok, 10)
 		}
@@ -99,7 +101,8 @@
 		z := &zones[h.zone]
 		z.heard++
 		z.groups[h.group] = true
-		if h.failed > h.ok {
+		// A busy host has many answers to its credit when it falls silent: that it has given none for a while says more.
+		if h.failed > h.ok || h.failed > 1.5 && now-h.okAt > s.conf.Window/2 {
 			z.failing++
 			z.bad[h.group] = true
 		} else if h.used > 0 {
--- a/internal/zonal/zonal.go
+++ b/internal/zonal/zonal.go
@@ -115,6 +115,7 @@
 	whole   []byte // all zones in full use
 	lines   []Line
 	said    []View
+	calm    []float64     // the least that answers of a zone took of their aim, on the mean
 	votes   []accord.Vote // of the round that is being decided
 }
 
@@ -127,7 +128,7 @@
 
 // New returns a state in which all zones are whole.
 func New(conf Config, council *accord.Council) *State {
-	s := &State{conf: conf, council: council, zones: make([]zone, len(conf.Zones)), whole: slices.Repeat([]byte{Whole}, len(conf.Zones))}
+	s := &State{conf: conf, council: council, zones: make([]zone, len(conf.Zones)), calm: make([]float64, len(conf.Zones)), whole: slices.Repeat([]byte{Whole}, len(conf.Zones))}
 	for i := range s.zones {
 		s.zones[i] = zone{share: Whole, away: conf.Away}
 	}
@@ -237,6 +238,7 @@
 func (s *State) Decide(now int64, members accord.Roll) (told []replica.Entry) {
 	s.votes = s.council.Votes(now, topic, members)
 	s.note(now)
+	s.measure()
 	next := make([]byte, len(s.zones))
 	any := false
 	for i := range s.zones {
@@ -342,45 +344,62 @@
 	return n
 }
 
-// bearable is the share of a zone that has to stay for the others to bear what it gives up. What answers in the others
-// take of their aim stands for how far they are used: it grows with it, and at Bear of the aim no more is to be given.
+// weigh adds up what all gateways send to a zone, and the mean of what its answers take of their aim, by n of them.
+func (s *State) weigh(zone int) (load, used float64, n int) {
+	for _, v := range s.votes {
+		if _, view, ok := decode(v.Body, zone); ok {
+			load += float64(view.Load)
+			if view.Verdict == Good && view.Used > 0 {
+				used += float64(view.Used) / 100
+				n++
+			}
+		}
+	}
+	return load, used / float64(max(n, 1)), n
+}
+
+// measure notes how little answers of each zone take when it has least to do.
+func (s *State) measure() {
+	for i := range s.zones {
+		if _, used, n := s.weigh(i); n > 0 && (s.calm[i] == 0 || used < s.calm[i]) {
+			s.calm[i] = used
+		}
+	}
+}
+
+// measured tells that another zone than i has been seen at work, so that what it bears is known at all.
+func (s *State) measured(i int) bool {
+	for o, calm := range s.calm {
+		if _, used, n := s.weigh(o); o != i && n > 0 && used > calm {
+			return true
+		}
+	}
+	return false
+}
+
+// bearable is the share of a zone that has to stay for the others to bear what it gives up. Answers of a host in use u take
+// 1/(1-u) times what they take of a calm one (processor sharing), so u follows from what they take now and took at
+// the least; at Bear of their aim no more is to be given.
 func (s *State) bearable(i int) byte {
 	if !s.conf.Capacity {
 		return 0
 	}
-	var load, used, other float64
+	var load, room float64
 	for o := range s.zones {
-		var sum, n float64
-		for _, v := range s.votes {
-			_, view, ok := decode(v.Body, o)
-			if !ok {
-				continue
-			}
-			if o == i {
-				load += float64(view.Load)
-				continue
-			}
-			other += float64(view.Load)
-			if view.Verdict != Unseen {
-				sum += float64(view.Used) / 100
-				n++
-			}
+		here, used, n := s.weigh(o)
+		if o == i {
+			load = here
+			continue
 		}
-		if n > 0 {
-			used = max(used, sum/n)
+		calm := s.calm[o]
+		if n == 0 || here == 0 || calm == 0 || used <= calm {
+			continue
 		}
+		use, most := 1-calm/used, 1-calm/s.conf.Bear
+		room += here * max(most/use-1, 0)
 	}
-	if load == 0 || other == 0 {
+	if load == 0 || room >= load || len(s.zones) < 2 || !s.measured(i) {
 		return 0
 	}
-	// What they are used to rises with their load, from what it is now.
-	room := max(s.conf.Bear-used, 0) / max(used, 0.05) * other
-	if room >= load {
-		return 0
-	}
-	keep := byte(Whole * (1 - room/load))
-	if j, _ := slices.BinarySearch(s.conf.Steps, keep); j < len(s.conf.Steps) {
-		return s.conf.Steps[j] // the next step above, so that the way back is the same
-	}
-	return Whole
+	return byte(Whole * (1 - room/load)) // steps of the return go on from there
 }
