--- a/cmd/cloverrock-lab/tier.go
+++ b/cmd/cloverrock-lab/tier.go
@@ -17,28 +17,33 @@
 	return cmd
 }
 
+// playTier plays once, reports, and fails with what must not be.
+func playTier(cmd *cobra.Command, o tier.Options, path string, found func(*tier.Result) []string) error {
+	ctx, end, err := rehearsal(o.For+time.Minute, &o.Program)
+	if err != nil {
+		return err
+	}
+	defer end()
+	o.Log = func(format string, a ...any) { fmt.Fprintf(os.Stderr, format+"\n", a...) }
+	res, err := tier.Run(ctx, o)
+	if err != nil {
+		return err
+	}
+	if err := report(path, cmd.OutOrStdout(), res); err != nil {
+		return err
+	}
+	if faults := found(res); len(faults) > 0 {
+		return fmt.Errorf("%w: %s", errFound, strings.Join(faults, "; "))
+	}
+	return nil
+}
+
 func tierSpread() *cobra.Command {
 	o := tier.Options{Members: 5}
 	var path string
 	cmd := &cobra.Command{Use: "spread", Short: "Measure at the hosts how evenly the gateways' load falls", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, end, err := rehearsal(o.For+time.Minute, &o.Program)
-			if err != nil {
-				return err
-			}
-			defer end()
-			o.Log = func(format string, a ...any) { fmt.Fprintf(os.Stderr, format+"\n", a...) }
-			res, err := tier.Run(ctx, o)
-			if err != nil {
-				return err
-			}
-			if err := report(path, cmd.OutOrStdout(), res); err != nil {
-				return err
-			}
-			if faults := res.Found(); len(faults) > 0 {
-				return fmt.Errorf("%w: %s", errFound, strings.Join(faults, "; "))
-			}
-			return nil
+			return playTier(cmd, o, path, (*tier.Result).Found)
 		}}
 	f := cmd.Flags()
 	f.IntVar(&o.Gateways, "gateways", 50, "processes of the gateway")
@@ -60,11 +65,6 @@
 	var path, policy string
 	cmd := &cobra.Command{Use: "zone", Short: "Have a zone fail, and see the gateways leave it and return together", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, end, err := rehearsal(o.For+time.Minute, &o.Program)
-			if err != nil {
-				return err
-			}
-			defer end()
 			switch policy {
 			case "":
 			case "alone":
@@ -74,18 +74,7 @@
 			default:
 				return fmt.Errorf("policy %q: there are alone and off", policy)
 			}
-			o.Log = func(format string, a ...any) { fmt.Fprintf(os.Stderr, format+"\n", a...) }
-			res, err := tier.Run(ctx, o)
-			if err != nil {
-				return err
-			}
-			if err := report(path, cmd.OutOrStdout(), res); err != nil {
-				return err
-			}
-			if faults := res.FoundInZones(o.Zoned.Alone); len(faults) > 0 {
-				return fmt.Errorf("%w: %s", errFound, strings.Join(faults, "; "))
-			}
-			return nil
+			return playTier(cmd, o, path, func(r *tier.Result) []string { return r.FoundInZones(o.Zoned.Alone) })
 		}}
 	f := cmd.Flags()
 	f.IntVar(&o.Gateways, "gateways", 60, "processes of the gateway")
