--- a/balance/facts_test.go
+++ b/balance/facts_test.go
@@ -99,3 +99,30 @@
 		t.Error("a read went to a replica that is too old")
 	}
 }
+
+// What a view costs a read.
+func BenchmarkRead(b *testing.B) {
+	for name, v := range map[string]View{"off": nil, "on": zones{0: 1, 1: 1, 2: 1}} {
+		b.Run(name, func(b *testing.B) {
+			set := testSettings()
+			r, err := New(set, 7)
+			if err != nil {
+				b.Fatal(err)
+			}
+			r.Follow(v)
+			r.Handle(base, Event{Kind: ListEvent, Full: true, Entries: trio()}, nil)
+			acts, id := []Action(nil), int64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				acts = r.Handle(base+id, Event{Kind: RequestEvent, Request: id, Class: loose, Until: base + id + 1000*ms}, acts[:0])
+				for _, a := range acts {
+					if a.Kind == SendAction {
+						acts = r.Handle(base+id, Event{Kind: OutcomeEvent, Request: id, Host: a.Host, Result: Served, Took: 1000, Over: true}, acts[:0])
+						break
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 )
 
 // A full ring loses its oldest and counts it; whoever puts never waits.
@@ -41,3 +42,12 @@
 		}
 	}
 }
+
+// What it costs the gateway's own goroutine to say how an attempt ended.
+func BenchmarkObserve(b *testing.B) {
+	r := newRing[end](ends)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.put(end{host: "s-1", at: time.Now()})
+	}
+}
