Write no keyed repeat past its window, however long its connection takes

Cause: over() looked at the window when a repeat was decided; StillFits, the last look before the first byte, did not. Ruled out: the count's start (the decision to send the first attempt, never later than its run). Test: TestKeyedRepeatIsNotWrittenPastItsWindow, seen to fail without the check. The margin is one upkeep, as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -633,7 +633,7 @@
 // One that no longer fits is to end as Skipped, which brings a new decision.
 func (r *Router) StillFits(now int64, id int64) bool {
 	q := r.reqs[id]
-	if q == nil || q.done || q.at == nil || q.at.bound || now >= q.until {
+	if q == nil || q.done || q.at == nil || q.at.bound || now >= q.until || r.lapsed(q, now) {
 		return false
 	}
 	return q.class.Need != Recent || r.set.HostsCheck || q.at.been || q.at.pos >= now-q.class.Bound
@@ -859,8 +859,12 @@
 // over tells whether nothing more can come of a request that is not out: its client leaves before upkeep sees
 // it again, maybe from the moment it came, or it is keyed and its repeat would no longer be dropped.
 func (r *Router) over(q *request) bool {
-	return r.now+2*r.period() >= q.until ||
-		q.ranAt != 0 && q.class.Repeat == Keyed && r.now+r.period() >= q.ranAt+q.class.Window
+	return r.now+2*r.period() >= q.until || r.lapsed(q, r.now)
+}
+
+// lapsed tells whether a repeat of a keyed request, sent now, may be too late to be dropped by its key.
+func (r *Router) lapsed(q *request, now int64) bool {
+	return q.ranAt != 0 && q.class.Repeat == Keyed && now+r.period() >= q.ranAt+q.class.Window
 }
 
 // late is above 0 if the request, sent now, would miss its aim by the time that attempts in its group take.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1249,3 +1249,19 @@
 		t.Error("sent to a replica that stands before the commit")
 	}
 }
+
+// A repeat that was decided on within the window may wait for its connection: past the window it is not written any more.
+func TestKeyedRepeatIsNotWrittenPastItsWindow(t *testing.T) {
+	g := readyRig(t, testSettings())
+	id, _ := g.ask(keyed)
+	began := g.now
+	g.answer(id, "a", Reset, RoleUnknown, 0)
+	g.wait(1000 * ms)
+	if sentTo(g.report("a", true, g.now), id) == "" && sentTo(g.report("b", true, g.now), id) == "" {
+		t.Fatal("not repeated")
+	}
+	last := began + g.r.set.Classes[keyed].Window - g.r.period()
+	if !g.r.StillFits(last-1, id) || g.r.StillFits(last, id) {
+		t.Error("the window does not bind to the microsecond, a period before its end")
+	}
+}
