Give sockets back on the engine's goroutine, so that no event of one ends another

Seen: the engine takes events in rounds and finds a connection by its number. A connection closed by the loop while a round held its event gave the number to the next dial or accept, and the event (an end, a reset) closed that one: a request on it was lost, or a host doubted. The loop now ends the sending and receiving, and the engine closes at that event; the first write is made here, since the engine closes at its error, too. Ruled out: the same for packets (never closed). Left: a socket with unwritten bytes is still closed at once.

--- a/internal/app/rig_test.go
+++ b/internal/app/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -44,6 +45,8 @@
 	queries chan *dbquery
 	hold    chan struct{} // if not nil, no connection is welcomed before it is closed
 	closed  chan struct{} // a token for each connection that the gateway has closed
+	// welcomed has a token for each connection that was held and then welcomed.
+	welcomed chan struct{}
 
 	mu sync.Mutex
 	// what it says of itself
@@ -63,7 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &dbhost{t: t, ln: ln, primary: primary, queries: make(chan *dbquery, 64), closed: make(chan struct{}, 64)}
+	h := &dbhost{t: t, ln: ln, primary: primary, queries: make(chan *dbquery, 64), closed: make(chan struct{}, 64), welcomed: make(chan struct{}, 64)}
 	t.Cleanup(func() { ln.Close() })
 	go func() {
 		for {
@@ -94,6 +97,9 @@
 		<-h.hold
 	}
 	_, _ = c.Write(pgwire.AppendReadyForQuery(pgwire.AppendAuthenticationOk(nil)))
+	if h.hold != nil {
+		h.welcomed <- struct{}{}
+	}
 	for {
 		m, err := read(rd)
 		if err != nil || m.Type != 'Q' {
@@ -147,6 +153,15 @@
 	}
 }
 
+// query waits for the next query, past connections that are held.
+func (h *dbhost) query() (q *dbquery) {
+	h.t.Helper()
+	for q == nil {
+		q = h.next()
+	}
+	return q
+}
+
 // end is what a host says of itself before it is ready again.
 func (q *dbquery) end(b []byte) {
 	role, position := q.host.says()
@@ -236,6 +251,23 @@
 	}
 }
 
+// key reads the answer to the startup and returns the number and secret by which requests are cancelled.
+func (cl *app) key() (key []byte) {
+	cl.t.Helper()
+	for {
+		m, err := read(cl.rd)
+		if err != nil {
+			cl.t.Fatal(err)
+		}
+		switch m.Type {
+		case 'K':
+			key = bytes.Clone(m.Body)
+		case 'Z':
+			return key
+		}
+	}
+}
+
 // ends waits for the end. A client that went on sending may see a reset, which takes with it what was said last.
 func (cl *app) ends() {
 	cl.t.Helper()
@@ -374,7 +406,7 @@
 	}()
 	t.Cleanup(func() {
 		r.s.loop.Post(func() {
-			r.s.loop.StopListening()
+			r.s.loop.StopListening(func() {})
 			r.s.loop.Stop()
 		})
 		<-r.ended
--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -95,7 +95,7 @@
 	})
 	peers := &peer.Peers{}
 	s.gateway.Connect(s.pool, s.watch, peers)
-	if err := s.loop.Start(conf.Listen, s.frontend.Accept); err != nil {
+	if err := s.loop.Start(conf.Listen, clients+frontend.Surplus, s.frontend.Accept); err != nil {
 		return nil, err
 	}
 	opened, err := peer.Open(s.loop, conf.Peer, s.gateway.Heard, log)
@@ -222,8 +222,7 @@
 	s.loop.At(now+s.overlap+s.conf.LongestDeadline+grace, s.loop.Stop)
 }
 
-// shut ends the overlap: nothing new is taken any more.
+// shut ends the overlap: nothing new is taken any more but what the system has accepted already.
 func (s *server) shut() {
-	s.loop.StopListening()
-	s.frontend.End(s.loop.Stop)
+	s.loop.StopListening(func() { s.frontend.End(s.loop.Stop) })
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	maxPipelined   = 64       // commands of one client that wait for their turn
-	maxUnread      = 64 << 10 // bytes of answers that a client has not read before its next command waits
-	surplusClients = 16       // connections beyond the limit that are told so
+	maxPipelined = 64       // commands of one client that wait for their turn
+	maxUnread    = 64 << 10 // bytes of answers that a client has not read before its next command waits
+	Surplus      = 16       // connections beyond the limit that are told so
 
 	sweep    = 1e5 // pace of the look at all clients
 	settle   = 1e5 // a message that goes on coming is whole by then, and a startup is here
@@ -106,7 +106,7 @@
 	if len(s.clients) >= s.limits.Connections {
 		if old := s.spare(); old != nil {
 			old.close()
-		} else if len(s.clients) >= s.limits.Connections+surplusClients {
+		} else if len(s.clients) >= s.limits.Connections+Surplus {
 			c.Close()
 			return cl
 		} else {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 
@@ -13,6 +15,10 @@
 )
 
 // Conn is one TCP connection. Its methods belong to the loop's goroutine.
+//
+// The engine closes sockets on its own goroutine as well, and a number that is free goes to the next socket. So whatever
+// is done here with the number is done under mu, and the engine's reads, in which it meets the end, are made under it too:
+// what the peer sends is either seen before our end, or never told.
 type Conn struct {
 	nb      *nbio.Conn // nil if the dial failed at once
 	handler Handler
@@ -21,7 +27,13 @@
 	queued  int64        // bytes given to Write
 	written atomic.Int64 // bytes that the kernel has taken
 	loop    *Loop
-	unread  int // reads that the handler has yet to be told of; under the loop's lock
+
+	accepted bool
+
+	mu     sync.Mutex
+	ended  bool // the number is not ours any more
+	shut   bool // our sending has ended: what still comes is thrown away
+	unread int  // reads that the handler has yet to be told of
 }
 
 // Dial begins to open a connection. What is written meanwhile goes out once it is up; a handler that waits for
@@ -88,20 +100,95 @@
 	}
 	nb.SetSession(c) // before the engine sees it: a connection without one counts as accepted
 	c.nb = nb
-	l.mu.Lock() // the poller meets the connection in the engine's table, which has no lock: this orders the two
-	c.unread = 0
-	l.mu.Unlock()
+	l.order()
 	_, err = l.engine.AddConn(nb)
 	return err
 }
 
+// maxThrown bounds the reads of what is thrown away before others have their turn: a flood that nobody waits for.
+const maxThrown = 4
+
+// take reads what the peer has sent, on the engine's goroutine. It returns 0 and no error where there is nothing more
+// yet, and an error at the end, by which time the socket is closed.
+func (c *Conn) take(b []byte) (n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for thrown := 0; thrown < maxThrown; {
+		if c.ended {
+			return 0, net.ErrClosed
+		}
+		n, err = c.nb.Read(b)
+		switch {
+		case n > 0 && c.shut: // nobody is told
+			thrown++
+		case n > 0:
+			c.unread++
+			return n, nil
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
+			return 0, nil
+		default:
+			if err == nil {
+				err = io.EOF
+			}
+			c.end(err)
+			return 0, err
+		}
+	}
+	return 0, nil
+}
+
+// end gives the socket back, under the lock.
+func (c *Conn) end(err error) {
+	c.ended = true
+	_ = c.nb.CloseWithError(err)
+}
+
+// told notes that the handler is being told of a read.
+func (c *Conn) told() {
+	c.mu.Lock()
+	c.unread--
+	c.mu.Unlock()
+}
+
 // Write sends b, now or as the socket takes it.
+//
+// The first try is made here and not by the engine, which closes a socket at an error, on this goroutine, while its own
+// may hold an event of it that would then meet the next socket of the same number. After an error the engine comes to that
+// event and closes the socket itself.
 func (c *Conn) Write(b []byte) {
 	if c.closed || c.nb == nil {
 		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waiting := c.Unwritten() > 0
 	c.queued += int64(len(b))
-	_, _ = c.nb.Write(b) // on an error the engine closes the connection and Closed is told
+	if c.ended || c.shut {
+		return
+	}
+	for !waiting && len(b) > 0 {
+		n, err := syscall.Write(c.number(), b)
+		if n > 0 {
+			c.written.Add(int64(n))
+			b = b[n:]
+		} else if errors.Is(err, syscall.EAGAIN) {
+			waiting = true
+		} else if !errors.Is(err, syscall.EINTR) {
+			c.endSoon()
+			return
+		}
+	}
+	if len(b) > 0 {
+		_, err := c.nb.Write(b)
+		c.ended = err != nil // then the engine has closed it, and Closed is told
+	}
+}
+
+func (c *Conn) number() (n int) {
+	raw, _ := c.nb.SyscallConn()
+	_ = raw.Control(func(fd uintptr) { n = int(fd) })
+	return n
 }
 
 // Flushed tells whether the kernel has taken the last byte given to Write. Only after Close, or once Closed
@@ -117,32 +204,100 @@
 	if c.closed || c.nb == nil {
 		return false
 	}
-	c.loop.mu.Lock()
-	unread := c.unread
-	c.loop.mu.Unlock()
-	if unread > 0 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.quiet()
+}
+
+func (c *Conn) quiet() bool {
+	if c.ended || c.shut || c.unread > 0 {
 		return false
 	}
-	raw, err := c.nb.SyscallConn()
-	if err != nil {
+	_, err := c.peek()
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// peek looks for a byte in the socket: 0 and no error are the peer's end.
+func (c *Conn) peek() (n int, err error) {
+	var b [1]byte
+	for {
+		if n, _, err = syscall.Recvfrom(c.number(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); !errors.Is(err, syscall.EINTR) {
+			return n, err
+		}
+	}
+}
+
+// Left tells that the peer has ended the connection, or the network has, whether or not the handler was told. Behind
+// bytes that nobody has read yet the end is not seen.
+func (c *Conn) Left() bool {
+	if c.closed || c.nb == nil {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return true
+	}
+	n, err := c.peek()
+	return n <= 0 && !errors.Is(err, syscall.EAGAIN)
+}
+
+// Shut ends our sending if the peer has sent nothing that the handler was not told, and tells whether it has. What the
+// peer sends from then on is read and thrown away, so that it resets nothing that is on its way to it; Closed is told once
+// the peer has ended its side, too.
+func (c *Conn) Shut() bool { return c.shutIf((*Conn).quiet) }
+
+// ShutAnyway is Shut for a connection on which what comes means nothing.
+func (c *Conn) ShutAnyway() bool { return c.shutIf(func(c *Conn) bool { return !c.ended && !c.shut }) }
+
+func (c *Conn) shutIf(may func(*Conn) bool) bool {
+	if c.closed || c.nb == nil {
 		return false
 	}
-	var peeked error
-	err = raw.Control(func(fd uintptr) {
-		_, _, peeked = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err == nil && errors.Is(peeked, syscall.EAGAIN)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.Unwritten() > 0 || !may(c) || syscall.Shutdown(c.number(), syscall.SHUT_WR) != nil {
+		return false
+	}
+	c.shut = true
+	return true
 }
 
-// Close ends the connection; the handler is told nothing more.
+// endLater is when the socket of a connection is given back at the latest whose end the engine should come to itself.
+const endLater = 1e5
+
+// Close ends the connection; the handler is told nothing more. The engine comes to the end of the socket and gives it
+// back: done here, the number might go to another socket while the engine still holds an event of this one.
 func (c *Conn) Close() {
 	if c.closed {
 		return
 	}
 	c.closed = true
-	if c.nb != nil {
-		_ = c.nb.Close()
+	if c.nb == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return
 	}
+	if c.shut = true; c.Unwritten() > 0 { // the engine may be at the same socket, and close it
+		c.end(nil)
+		return
+	}
+	_ = syscall.Shutdown(c.number(), syscall.SHUT_RDWR)
+	c.endSoon()
+}
+
+// endSoon sees to it that the socket is given back, should the engine not come to its end.
+func (c *Conn) endSoon() {
+	c.loop.At(c.loop.Now()+endLater, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if !c.ended {
+			c.end(net.ErrClosed)
+		}
+	})
 }
 
 // PacketConn is a UDP socket.
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -17,6 +17,9 @@
 // spareEvents bounds the queue's spare room: one that a flood has made longer is not kept for good.
 const spareEvents = 4096
 
+// maxPackets bounds the datagrams that are read before connections have their turn.
+const maxPackets = 3
+
 // Handler is told what happens to a connection, always on the loop's goroutine. After Closed, or once the
 // connection was closed from this side, nothing more is told.
 type Handler interface {
@@ -29,6 +32,7 @@
 	engine *nbio.Engine
 	log    zerolog.Logger
 	gate   *gate
+	buffer []byte // the engine's goroutine reads into it
 	start  time.Time
 	base   int64 // Unix time of start in microseconds
 
@@ -76,16 +80,17 @@
 	return l
 }
 
-// Start opens the engine. It listens on address, if not empty; accept is called for each new connection.
-func (l *Loop) Start(address string, accept func(*Conn) Handler) error {
+// Start opens the engine. It listens on address, if not empty; accept is called for each new connection. Of those that
+// were accepted at most so many are open at a time; more wait in the system's queue, and hold no descriptor.
+func (l *Loop) Start(address string, most int, accept func(*Conn) Handler) error {
 	conf := nbio.Config{
-		Name: "cloverrock", Network: "tcp", NPoller: 1, ReadBufferSize: 64 << 10, UDPReadTimeout: time.Minute,
+		Name: "cloverrock", Network: "tcp", NPoller: 1, ReadBufferSize: 1, UDPReadTimeout: time.Minute,
 		Listen: func(network, addr string) (net.Listener, error) {
 			ln, err := net.Listen(network, addr)
 			if err != nil {
 				return nil, err
 			}
-			l.gate = &gate{Listener: ln, log: l.log, shut: make(chan struct{})}
+			l.gate = newGate(ln.(*net.TCPListener), most, l.log)
 			return l.gate, nil
 		},
 	}
@@ -93,25 +98,14 @@
 		conf.Addrs = []string{address}
 	}
 	l.engine = nbio.NewEngine(conf)
-	l.engine.OnOpen(func(nb *nbio.Conn) {
-		if _, udp := nb.RemoteAddr().(*net.UDPAddr); udp || nb.Session() != nil {
-			return
-		}
-		c := &Conn{loop: l, nb: nb}
-		nb.SetSession(c)
-		l.post(event{call: func() { c.handler = accept(c) }})
-	})
-	l.engine.OnData(func(nb *nbio.Conn, data []byte) {
-		b := append([]byte(nil), data...) // the engine reads into the same buffer again
-		c, ok := nb.Session().(*Conn)
-		if ok {
-			l.post(event{conn: c, kind: read, data: b})
-		} else if from, udp := nb.RemoteAddr().(*net.UDPAddr); udp {
-			l.post(event{call: func() { l.packet(from, b) }})
-		}
-	})
+	l.engine.OnOpen(func(nb *nbio.Conn) { l.open(nb, accept) })
+	l.buffer = make([]byte, 64<<10)
+	l.engine.OnRead(l.read)
 	l.engine.OnClose(func(nb *nbio.Conn, err error) {
 		if c, ok := nb.Session().(*Conn); ok {
+			if c.accepted {
+				l.gate.closed()
+			}
 			l.post(event{conn: c, kind: closed, err: err})
 		}
 	})
@@ -126,14 +120,71 @@
 	return nil
 }
 
+// open is told, on the goroutine that accepts, of a connection.
+func (l *Loop) open(nb *nbio.Conn, accept func(*Conn) Handler) {
+	if _, udp := nb.RemoteAddr().(*net.UDPAddr); udp || nb.Session() != nil {
+		return
+	}
+	c := &Conn{loop: l, nb: nb, accepted: true}
+	nb.SetSession(c)
+	l.order()
+	l.gate.opened()
+	l.post(event{call: func() { c.handler = accept(c) }})
+}
+
+// read is told, on the engine's goroutine, that something has come or that the peer's side has ended. It reads to the end
+// of what is there: the engine closes the socket after it where the peer has, whatever was not read.
+func (l *Loop) read(nb *nbio.Conn) {
+	l.order()
+	c, ok := nb.Session().(*Conn)
+	if !ok {
+		l.receive(nb)
+		return
+	}
+	for {
+		n, err := c.take(l.buffer)
+		if n == 0 {
+			if err != nil {
+				l.post(event{conn: c, kind: closed, err: err})
+			}
+			return
+		}
+		l.post(event{conn: c, kind: read, data: append([]byte(nil), l.buffer[:n]...)})
+	}
+}
+
+// order stands between the making of a connection and the engine's first sight of it: its table has no lock.
+func (l *Loop) order() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+}
+
+// receive takes datagrams.
+func (l *Loop) receive(nb *nbio.Conn) {
+	for range maxPackets {
+		b := l.buffer
+		from, n, err := nb.ReadAndGetConn(&b)
+		if err != nil || n <= 0 {
+			return
+		}
+		data := append([]byte(nil), b[:n]...)
+		if addr, udp := from.RemoteAddr().(*net.UDPAddr); udp {
+			l.post(event{call: func() { l.packet(addr, data) }})
+		}
+	}
+}
+
 // Address tells where the loop listens.
 func (l *Loop) Address() string { return l.engine.Addrs[0] }
 
-// StopListening refuses new connections from now on; those that are open stay.
-func (l *Loop) StopListening() {
-	if l.gate != nil {
-		l.gate.stop()
+// StopListening refuses new connections from now on; those that are open stay, and what the system has accepted already is
+// taken. Then done is called, behind the last accept.
+func (l *Loop) StopListening(done func()) {
+	if l.gate == nil {
+		l.Post(done)
+		return
 	}
+	l.gate.stop(func() { l.Post(done) })
 }
 
 // Now is the time in microseconds since 1970. It is taken from the system's clock once and then only advances,
@@ -148,9 +199,6 @@
 	for ev.kind == read && l.bytes > l.backlog {
 		l.room.Wait()
 	}
-	if ev.kind == read {
-		ev.conn.unread++
-	}
 	l.queue = append(l.queue, ev)
 	l.bytes += len(ev.data)
 	l.mu.Unlock()
@@ -206,9 +254,7 @@
 func (l *Loop) handle(ev *event) {
 	c := ev.conn
 	if ev.kind == read {
-		l.mu.Lock()
-		c.unread--
-		l.mu.Unlock()
+		c.told()
 	}
 	switch {
 	case ev.call != nil:
@@ -271,45 +317,6 @@
 	return t
 }
 
-// gate is a listener that can be shut alone. The engine calls Accept again and again after an error, so one
-// that fails for good would spin: once shut, Accept waits for the end of the process, and it pauses after a
-// failure such as a lack of descriptors.
-type gate struct {
-	net.Listener
-	log  zerolog.Logger
-	once sync.Once
-	shut chan struct{}
-}
-
-// Accept implements net.Listener.
-func (g *gate) Accept() (net.Conn, error) {
-	for {
-		c, err := g.Listener.Accept()
-		if err == nil {
-			return c, nil
-		}
-		select {
-		case <-g.shut:
-			select {}
-		case <-time.After(20 * time.Millisecond):
-			g.log.Warn().Err(err).Msg("accept failed")
-		}
-	}
-}
-
-// Close implements net.Listener.
-func (g *gate) Close() error {
-	g.stop()
-	return nil
-}
-
-func (g *gate) stop() {
-	g.once.Do(func() {
-		close(g.shut)
-		_ = g.Listener.Close()
-	})
-}
-
 // engineLog passes the engine's own lines on.
 type engineLog struct{ log zerolog.Logger }
 
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -29,13 +29,13 @@
 func run(t *testing.T, accept func(*Conn) Handler) *Loop {
 	t.Helper()
 	l := New(1024, 4<<20, zerolog.Nop())
-	if err := l.Start("127.0.0.1:0", accept); err != nil {
+	if err := l.Start("127.0.0.1:0", 512, accept); err != nil {
 		t.Fatal(err)
 	}
 	ended := make(chan struct{})
 	go func() { l.Run(); close(ended) }()
 	t.Cleanup(func() {
-		l.Post(func() { l.StopListening(); l.Stop() })
+		l.Post(func() { l.StopListening(func() {}); l.Stop() })
 		<-ended
 	})
 	return l
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -15,7 +15,7 @@
 // number, and one from an address that is no gateway's is not told.
 func TestMessages(t *testing.T) {
 	l := loop.New(1024, 1<<20, zerolog.Nop())
-	if err := l.Start("", nil); err != nil {
+	if err := l.Start("", 0, nil); err != nil {
 		t.Fatal(err)
 	}
 	ended := make(chan struct{})
