End resting clients by a lingering close, and take CancelRequest

Cause: a look into the socket and then a close. What a client sends between the two reset the connection, and with it an answer that it had not read yet; a closed-loop client does just that when its gateway ends. Now our sending ends, what comes is read and thrown away, and the socket is closed when the client has ended its side or after 0.5 s. Lingering connections count as open and are the first to give way; the look and the end are one step against the engine's reads. Fatal errors linger, too. CancelRequest was read and dropped, and no key was given out: random number and secret at startup, compared in constant time; the request ends with 57014 and is not sent on. Tests: TestRestingClientIsNotReset (fails with the old close at its first further writes), TestCancelRequest.

--- a/internal/app/serve_test.go
+++ b/internal/app/serve_test.go
@@ -787,3 +787,75 @@
 	held.answer("v")
 	usual.want("value v")
 }
+
+// A connection that rests is ended by a lingering close: what its client is just sending is never sent on, and resets
+// nothing. The client that does not end its side holds up the end for a moment only.
+func TestRestingClientIsNotReset(t *testing.T) {
+	for name, ends := range map[string]bool{"ends its side": true, "stays": false} {
+		t.Run(name, func(t *testing.T) {
+			r := start(t, 0)
+			cl := r.connect()
+			cl.query(text(writeText, 1))
+			r.hosts[0].next().answer("v")
+			cl.want("value v")
+			r.do(func() { r.s.frontend.End(r.s.loop.Stop) })
+			for id := range 50 { // a reset would fail one of these
+				cl.query(text(writeText, 10+id))
+			}
+			cl.want("closed")
+			if ends {
+				cl.c.Close()
+			}
+			select {
+			case <-r.ended:
+			case <-time.After(limit):
+				t.Fatal("does not end")
+			}
+			if n := len(r.hosts[0].queries); n > 0 {
+				t.Errorf("%d requests were sent on after the end", n)
+			}
+		})
+	}
+}
+
+// A request is cancelled from another connection by number and secret: it ends at once, and is not sent on. Nothing else
+// cancels it.
+func TestCancelRequest(t *testing.T) {
+	r := play(t, 0)
+	r.hosts[0].hold = make(chan struct{})
+	r.start()
+	cl := r.dial()
+	cl.write(pgwire.AppendStartup(nil, "user", "worker"))
+	key := cl.key()
+	cl.query(text(writeText, 1))
+	if q := r.hosts[0].next(); q != nil {
+		t.Fatal("a query before the welcome")
+	}
+	for i := range len(key) {
+		wrong := bytes.Clone(key)
+		wrong[i] ^= 1
+		other := r.dial()
+		other.write(append([]byte("\x00\x00\x00\x10\x04\xd2\x16\x2e"), wrong...))
+		other.want("closed")
+	}
+	if !r.owed() {
+		t.Fatal("cancelled by a wrong key")
+	}
+	other := r.dial()
+	other.write(append([]byte("\x00\x00\x00\x10\x04\xd2\x16\x2e"), key...))
+	other.want("closed")
+	cl.want("error 57014")
+	close(r.hosts[0].hold)
+	cl.query(text(writeText, 2))
+	q := r.hosts[0].query()
+	if !strings.Contains(q.text, "id=2,") {
+		t.Fatalf("sent although cancelled: %s", q.text)
+	}
+	q.answer("w")
+	cl.want("value w")
+	other = r.dial() // with nothing under way it cancels nothing
+	other.write(append([]byte("\x00\x00\x00\x10\x04\xd2\x16\x2e"), key...))
+	other.want("closed")
+	cl.query("")
+	cl.want("empty")
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -4,6 +4,9 @@
 
 import (
 	"container/list"
+	"crypto/rand"
+	"crypto/subtle"
+	"encoding/binary"
 	"fmt"
 
 	"github.com/rs/zerolog"
@@ -16,11 +19,14 @@
 const (
 	maxPipelined = 64       // commands of one client that wait for their turn
 	maxUnread    = 64 << 10 // bytes of answers that a client has not read before its next command waits
-	Surplus      = 16       // connections beyond the limit that are told so
+
+	// Surplus is how many connections beyond the limit are let in to be told so, or stand in their lingering close.
+	Surplus = 16
 
 	sweep    = 1e5 // pace of the look at all clients
 	settle   = 1e5 // a message that goes on coming is whole by then, and a startup is here
 	farewell = 1e6 // for the last error to be read
+	linger   = 5e5 // for a client to end its side once we have ended ours
 
 	farAhead = 60e6 // a commit that a read must see lies no further ahead: clocks differ, but not so much
 )
@@ -60,6 +66,8 @@
 	held    int                 // bytes of requests, of commands that wait for their turn, and of messages begun
 	fresh   *list.List          // clients that have had no request yet, the longest silent first
 	idle    *list.List          // clients between requests, the longest idle first
+	parted  *list.List          // clients in their lingering close, the longest first
+	keys    map[uint32]*client  // by the number under which a request may be cancelled
 	open    map[string]struct{} // ids of the requests that are owed an answer
 	ending  bool
 	ended   func()
@@ -68,7 +76,7 @@
 // New returns a server without clients.
 func New(l *loop.Loop, g Gateway, classes map[string]Class, limits Limits, log zerolog.Logger) *Server {
 	s := &Server{loop: l, gateway: g, classes: classes, limits: limits, log: log, clients: map[*client]struct{}{},
-		fresh: list.New(), idle: list.New(), open: map[string]struct{}{}}
+		fresh: list.New(), idle: list.New(), parted: list.New(), keys: map[uint32]*client{}, open: map[string]struct{}{}}
 	s.sweep()
 	return s
 }
@@ -80,12 +88,16 @@
 	var slow *client
 	for c := range s.clients {
 		switch {
+		case c.parted:
+			if now-c.since > linger {
+				c.close()
+			}
 		case c.dead && now-c.since > farewell:
 			c.close()
-		case c.waiting || c.resting == nil || !c.net.Quiet():
+		case c.waiting || c.resting == nil:
 		case len(c.in) > 0 && now-c.begun > s.limits.Silence,
 			!c.asked && now-c.since > s.limits.Silence, now-c.since > s.limits.Resting:
-			c.close()
+			c.retire()
 		}
 		if n := c.net.Unwritten(); !c.closed && n > 0 {
 			if unread += n; slow == nil || n > slow.net.Unwritten() {
@@ -99,35 +111,35 @@
 	s.loop.At(now+sweep, s.sweep)
 }
 
-// Accept takes a new connection. When there are too many, one that rests makes room; if all are at work, the new
-// one is let in only to be told.
+// Accept takes a new connection. When there are too many, one that lingers is cut off, or one that rests makes room; if
+// all are at work, the new one is let in only to be told.
 func (s *Server) Accept(c *loop.Conn) loop.Handler {
 	cl := &client{server: s, net: c, since: s.loop.Now()}
-	if len(s.clients) >= s.limits.Connections {
-		if old := s.spare(); old != nil {
-			old.close()
-		} else if len(s.clients) >= s.limits.Connections+Surplus {
+	for s.parted.Len() > 0 && len(s.clients) >= s.limits.Connections {
+		s.parted.Front().Value.(*client).close()
+	}
+	if len(s.clients) >= s.limits.Connections && !s.spare() {
+		if len(s.clients) >= s.limits.Connections+Surplus {
 			c.Close()
 			return cl
-		} else {
-			cl.surplus = true
 		}
+		cl.surplus = true
 	}
 	s.clients[cl] = struct{}{}
 	cl.rest()
 	return cl
 }
 
-// spare is a client that may be closed to make room: the longest silent of those that have not even begun their
+// spare retires a client to make room: the longest silent of those that have not even begun their
 // startup, which usual clients send at once; of those that have asked nothing while they are half of all, so that any
 // number of them does not crowd out the clients that ask; else the one that has rested longest. A new client is silent, too, until its first query is here, and clients that ask once and stay would keep
 // all that come later from asking.
 // To close one that has not read its last answer would lose that, and one whose next bytes have arrived asks now.
-func (s *Server) spare() *client {
+func (s *Server) spare() bool {
 	now := s.loop.Now()
 	for e := s.fresh.Front(); e != nil && now-e.Value.(*client).since > settle; e = e.Next() {
-		if c := e.Value.(*client); !c.started && len(c.in) == 0 && c.net.Quiet() {
-			return c
+		if c := e.Value.(*client); !c.started && len(c.in) == 0 && c.retire() {
+			return true
 		}
 	}
 	order := [...]*list.List{s.idle, s.fresh}
@@ -136,13 +148,12 @@
 	}
 	for _, clients := range order {
 		for e := clients.Front(); e != nil; e = e.Next() {
-			c := e.Value.(*client)
-			if c.net.Unwritten() <= 0 && (len(c.in) == 0 || now-c.begun > settle) && c.net.Quiet() {
-				return c
+			if c := e.Value.(*client); (len(c.in) == 0 || now-c.begun > settle) && c.retire() {
+				return true
 			}
 		}
 	}
-	return nil
+	return false
 }
 
 // Unread is the number of bytes of answers that clients have yet to read.
@@ -168,7 +179,7 @@
 func (s *Server) End(ended func()) {
 	s.ending, s.ended = true, ended
 	for c := range s.clients {
-		if c.resting != nil && len(c.in) == 0 {
+		if c.resting != nil && len(c.in) == 0 && !c.parted {
 			c.part()
 		}
 	}
@@ -189,7 +200,10 @@
 	started bool
 	surplus bool
 	closed  bool
-	dead    bool // a fatal error was sent: what comes now means nothing
+	dead    bool   // a fatal error was sent: what comes now means nothing
+	parted  bool   // our side has ended: what comes now is not even read
+	pid     uint32 // its number in keys, 0 if it has none
+	secret  [4]byte
 	skip    bool // an extended query was turned away: nothing counts until its Sync
 
 	in      []byte    // a message that has begun
@@ -227,6 +241,7 @@
 	c.in, c.queue = nil, nil
 	c.count()
 	delete(c.server.clients, c)
+	delete(c.server.keys, c.pid)
 	if c.asked {
 		c.server.asked--
 	}
@@ -242,6 +257,7 @@
 	}
 }
 
+
 // over notes that the request that was out has its final answer.
 func (c *client) over() {
 	c.waiting, c.size = false, 0
@@ -253,15 +269,36 @@
 	c.gone()
 }
 
-// part closes the connection once all that was written to it is on its way. A client that reads slowly may send
+// retire ends our side of a connection on which nothing is owed, unless the client's next bytes are here. A close alone
+// would meet what the client is just sending, and a reset takes with it what the client has not read yet. So the
+// connection lingers until the client ends its side too, or its time is up. Meanwhile it counts as open.
+func (c *client) retire() bool { return c.shut(c.net.Shut) }
+
+func (c *client) shut(shut func() bool) bool {
+	if !shut() {
+		return false
+	}
+	c.work()
+	if c.in, c.queue = nil, nil; c.asked {
+		c.asked = false
+		c.server.asked--
+	}
+	c.count()
+	c.parted, c.since = true, c.server.loop.Now()
+	c.resting = c.server.parted.PushBack(c)
+	return true
+}
+
+// part ends the connection once all that was written to it is on its way. A client that reads slowly may send
 // a request meanwhile: unless the connection is dead that one is taken and answered first, also where it is in the socket
-// and was not read yet: to close that would reset the connection, and take with it an answer that the client has not read.
-// One that has just come has a moment for its first request.
+// and was not read yet. One that has just come has a moment for its first request.
 func (c *client) part() {
+	if c.closed || c.parted || c.waiting || len(c.in) > 0 {
+		return
+	}
 	switch {
-	case c.closed || c.waiting || len(c.in) > 0:
-	case c.net.Unwritten() <= 0 && (c.dead || (c.asked || c.server.loop.Now()-c.since > settle) && c.net.Quiet()):
-		c.close()
+	case c.dead && c.shut(c.net.ShutAnyway):
+	case !c.dead && (c.asked || c.server.loop.Now()-c.since > settle) && c.retire():
 	default:
 		c.later(c.part)
 	}
@@ -283,14 +320,13 @@
 	c.held = n
 }
 
-// thin closes the clients that have rested longest, beyond the bound for those that have asked. Their side has so many
+// thin retires the clients that have rested longest, beyond the bound for those that have asked. Their side has so many
 // connections at most: clients that ask once and stay would keep all that come later from connecting.
 func (s *Server) thin() {
 	for e := s.idle.Front(); e != nil && s.asked > s.limits.Asked; {
 		c := e.Value.(*client)
-		e = e.Next()
-		if c.net.Unwritten() <= 0 && len(c.in) == 0 && c.net.Quiet() {
-			c.close()
+		if e = e.Next(); len(c.in) == 0 {
+			c.retire()
 		}
 	}
 }
@@ -313,6 +349,7 @@
 	if c.resting != nil { // a list does not remove what is not its own
 		c.server.idle.Remove(c.resting)
 		c.server.fresh.Remove(c.resting)
+		c.server.parted.Remove(c.resting)
 		c.resting = nil
 	}
 }
@@ -402,6 +439,7 @@
 		c.net.Write([]byte{'N'})
 		return true
 	case s.Code == pgwire.CancelRequest:
+		c.server.cancel(s.PID, s.Secret)
 		c.close()
 		return false
 	case s.Code>>16 != pgwire.ProtocolVersion>>16:
@@ -419,10 +457,34 @@
 	} {
 		b = pgwire.AppendParameterStatus(b, p[0], p[1])
 	}
+	c.name()
+	b = pgwire.AppendBackendKeyData(b, c.pid, c.secret)
 	c.net.Write(pgwire.AppendReadyForQuery(b))
 	return true
 }
 
+// name draws the number and the secret by which the client may cancel its request from another connection.
+func (c *client) name() {
+	var b [8]byte
+	for c.pid == 0 || c.server.keys[c.pid] != nil {
+		_, _ = rand.Read(b[:])                     // never fails
+		c.pid = binary.BigEndian.Uint32(b[:]) >> 1 // clients read it as a signed number
+	}
+	c.secret = [4]byte(b[4:])
+	c.server.keys[c.pid] = c
+}
+
+// cancel ends the request that is out for the client of that number, if the secret is its. Whoever asks is told nothing.
+func (s *Server) cancel(pid uint32, secret [4]byte) {
+	c := s.keys[pid]
+	if c == nil || subtle.ConstantTimeCompare(secret[:], c.secret[:]) == 0 || !c.waiting {
+		return
+	}
+	c.drop()
+	c.done(pgwire.AppendError(nil, pgwire.Error{Severity: "ERROR", Code: pgwire.CodeQueryCanceled,
+		Message: "canceled at the client's request; the statement may have run"}))
+}
+
 // next takes commands in their order, until one is a request that must be answered first.
 func (c *client) next() {
 	for !c.waiting && !c.closed && len(c.queue) > 0 {
@@ -541,7 +603,9 @@
 	if c.closed {
 		return
 	}
-	c.over()
+	if c.waiting {
+		c.over()
+	}
 	c.net.Write(pgwire.AppendReadyForQuery(answer))
 	c.server.loop.Post(c.next) // the gateway is not to be called back from here
 }
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -38,6 +38,7 @@
 	CodeSystemError        = "58000"
 	CodeReadOnly           = "25006"
 	CodeSnapshotTooOld     = "72000"
+	CodeQueryCanceled      = "57014"
 )
 
 // ErrLength marks a message whose length cannot be right; the framing is lost.
@@ -103,6 +104,8 @@
 type Startup struct {
 	Code   uint32 // the protocol's version, or a request's code
 	Params map[string]string
+	PID    uint32 // CancelRequest: whose request is to end
+	Secret [4]byte
 }
 
 // NextStartup cuts a startup message off b, like Next.
@@ -121,6 +124,13 @@
 		return s, b, false, nil
 	}
 	s.Code, s.Params = binary.BigEndian.Uint32(b[4:]), map[string]string{}
+	if s.Code == CancelRequest {
+		if n != 16 {
+			return s, b, false, fmt.Errorf("cancel request: %w", ErrLength)
+		}
+		s.PID, s.Secret = binary.BigEndian.Uint32(b[8:]), [4]byte(b[12:])
+		return s, b[n:], true, nil
+	}
 	for body := b[8:n]; len(body) > 0 && body[0] != 0; {
 		var name, value string
 		var whole bool
@@ -195,6 +205,12 @@
 	return end(cstring(cstring(b, name), value), at)
 }
 
+// AppendBackendKeyData tells by which number and secret a request of this connection may be cancelled.
+func AppendBackendKeyData(b []byte, pid uint32, secret [4]byte) []byte {
+	b, at := begin(b, 'K')
+	return end(append(binary.BigEndian.AppendUint32(b, pid), secret[:]...), at)
+}
+
 // AppendReadyForQuery appends the end of an answer, outside any transaction.
 func AppendReadyForQuery(b []byte) []byte {
 	b, at := begin(b, 'Z')
