--- a/internal/app/serve_test.go
+++ b/internal/app/serve_test.go
@@ -818,6 +818,33 @@
 	}
 }
 
+// A client may leave while its request waits for a connection, and word of it may lie behind much else. The last look is
+// at its own socket: nothing is sent for it.
+func TestNothingIsSentForAClientThatLeft(t *testing.T) {
+	r := play(t, 0)
+	r.hosts[0].hold = make(chan struct{})
+	r.start(func(c *config.Config) { c.MemoryMB = 1 }) // 64 KiB that are not handled make the engine wait
+	cl, flood := r.connect(), r.connect()
+	cl.query(text(writeText, 1))
+	if q := r.hosts[0].next(); q != nil {
+		t.Fatal("a query before the welcome")
+	}
+	r.do(func() {
+		close(r.hosts[0].hold)
+		<-r.hosts[0].welcomed
+		flood.write(append([]byte("Q\x00\x03\xff\x00"), bytes.Repeat([]byte("x"), 160<<10)...)) // the engine waits behind the welcome
+		cl.c.Close()
+	})
+	next := r.connect()
+	next.query(text(writeText, 2))
+	q := r.hosts[0].query()
+	if !strings.Contains(q.text, "id=2,") {
+		t.Fatalf("sent for nobody: %s", q.text)
+	}
+	q.answer("w")
+	next.want("value w")
+}
+
 // A request is cancelled from another connection by number and secret: it ends at once, and is not sent on. Nothing else
 // cancels it.
 func TestCancelRequest(t *testing.T) {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -257,6 +257,8 @@
 	}
 }
 
+// Left implements gateway.Client: it looks into the socket, since the end may be some time away from here.
+func (c *client) Left() bool { return c.closed || c.net.Left() }
 
 // over notes that the request that was out has its final answer.
 func (c *client) over() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	Serve(value []byte) // the answer as a host gave it
 	Refuse(after int64) // nothing ran, or may run again: come back after so many microseconds; 0: any time
 	Fail()              // it may have run
+	Left() bool         // nobody waits for the answer any more, whether or not the gateway was told
 }
 
 // Request is a request as a frontend read it. Times are microseconds on the loop's clock.
@@ -173,6 +174,15 @@
 	}
 }
 
+// left looks at the client itself, just before the first byte of an attempt: word that it has gone may lie behind much else.
+func (g *Gateway) left(id int64) bool {
+	q := g.live[id]
+	if q != nil && !q.over && q.Client.Left() {
+		g.Gone(id)
+	}
+	return q == nil || q.over
+}
+
 // Ended takes the outcome of an attempt. The first that is served goes to the client.
 func (g *Gateway) Ended(a Attempt, o Outcome) {
 	q := g.live[a.Request]
@@ -277,7 +287,7 @@
 		}
 		at := Attempt{
 			Request: id, Number: q.attempts, Host: a.Host, Write: q.Write, Until: until, Body: q.Body,
-			Aged: func() bool { return !g.router.StillFits(g.clock.Now(), id) },
+			Aged: func() bool { return g.left(id) || !g.router.StillFits(g.clock.Now(), id) },
 		}
 		if q.attempts++; q.attempts > 1 {
 			g.counts.Again++
