Keep the clock of six seconds where all gateways ask one service

Cause: after failures a gateway among many waited up to 3 x 60 ms x gateways, and up to all of that before its first call: 6.4 s of 50 gateways after two failures, more after each. The term is 6 s from when discovery had a change and could be reached. While the calls of all fit into 6 s (up to 100 gateways at 60 ms each) no wait is longer now than lets the next call begin in time.

--- a/internal/discovery/retry.go
+++ b/internal/discovery/retry.go
@@ -18,6 +18,10 @@
 	// brief is how long an answer may take to begin: at first, and doubled after each that did not, up to patient.
 	brief   = 4e5
 	patient = 2e6
+	// inTime is the longest mean wait after which the next call still begins within toldWithin of the time at which discovery
+	// could be reached again, whatever the call before was doing then: that one may be waited for yet, and the wait that
+	// follows is up to half as long again.
+	inTime = (toldWithin - patient - brief) * 2 / 3
 	// call is what one gateway's call may take of discovery's time: a guess on the safe side. Measured where it was
 	// overbooked: of 80 calls at once it answered 32 in 2 s, and then none of some 20 a second.
 	call = 6e4
@@ -31,6 +35,9 @@
 		all := int64(gateways) * call
 		r.first, r.least, r.most = all, max(minRetry, all/4), max(maxRetry, 2*all)
 		r.brief = min(max(brief, all), patient) // calls are taken in turn
+		if all <= toldWithin {                  // they all fit into it; more of them can't be told in time, and would be told nothing
+			r.first, r.least, r.most = min(r.first, toldWithin/2), min(r.least, inTime), min(r.most, inTime)
+		}
 	}
 	r.Told()
 	return r
