Hold the fleet to the tighter bound on cold hosts, with 20 and 30 routers, late ones and restarts

The term is N + 2 x root of N + 2 for the sum of all; the test had 3 and 3, and 1, 3, 80 and 300 routers of two deployments. It has four deployments' figures now, a third of the routers told of the start 2 s late, and another third started anew then.

--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -100,6 +100,17 @@
 	}
 }
 
+// restart puts a new router in the place of one; what was under way there is forgotten.
+func (f *fleet) restart(i int, list []Entry) {
+	r, err := New(f.routers[i].set, uint64(1000+i))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.routers[i] = r
+	f.events = slices.DeleteFunc(f.events, func(o occurrence) bool { return o.to == i })
+	f.tell(i, Event{Kind: ListEvent, Full: true, Entries: list})
+}
+
 // ask has a router take a request.
 func (f *fleet) ask(i, class int) {
 	f.next++
--- a/balance/work_test.go
+++ b/balance/work_test.go
@@ -140,9 +140,9 @@
 	}
 }
 
-// What all routers together send a host that has just started stays under what lets it fall over: more than N + 3 x root
-// of N + 3 requests of mean work in the stated time, N being what it may have then. A fifth more is asked than
-// warm hosts could do.
+// What all routers together send a host that has just started stays under what lets it fall over: more than N + 2 x root
+// of N + 2 requests of mean work in the stated time, N being what it may have then. A fifth more is asked than
+// warm hosts could do. So it does if a third of the routers hear of the start late, and if another third starts meanwhile.
 func TestColdBoundByNumberOfRouters(t *testing.T) {
 	for _, d := range []struct {
 		name     string
@@ -151,8 +151,10 @@
 	}{
 		{"regina", func(s *Settings) { s.ColdFrom, s.ColdFor, s.FallMultiple, s.FallFor = 0.25, 16000*ms, 4, 1500*ms }, 66},
 		{"karbejelentes", func(s *Settings) { s.ColdFrom, s.ColdFor, s.FallMultiple, s.FallFor = 0.17, 14000*ms, 2.5, 1000*ms }, 40},
+		{"cairo", func(s *Settings) { s.ColdFrom, s.ColdFor, s.FallMultiple, s.FallFor = 0.19, 18000*ms, 3, 1500*ms }, 60},
+		{"a low multiple", func(s *Settings) { s.ColdFrom, s.ColdFor, s.FallMultiple, s.FallFor = 0.15, 20000*ms, 1.5, 800*ms }, 30},
 	} {
-		for _, routers := range []int{1, 3, 80, 300} {
+		for _, routers := range []int{1, 3, 20, 30, 80, 300} {
 			t.Run(fmt.Sprintf("%s, %d routers", d.name, routers), func(t *testing.T) {
 				t.Parallel()
 				const use = 1.2
@@ -171,10 +173,27 @@
 					}
 					return 50 * ms, Served
 				}
+				var late, warm int
+				for i := range f.routers {
+					if routers >= 3 && i%3 == 0 {
+						late++
+						continue
+					}
+					f.tell(i, Event{Kind: ListEvent, Entries: []Entry{cold}})
+				}
+				f.run(2000*ms, loose, every)
+				unaware := len(sent) // what those sent that had not been told is not the fleet's fault
 				for i := range f.routers {
 					f.tell(i, Event{Kind: ListEvent, Entries: []Entry{cold}})
+					if routers >= 3 && i%3 == 1 {
+						f.restart(i, append(entries(hosts)[:hosts-1:hosts-1], cold))
+						warm++
+					}
+				}
+				if late+warm > 0 {
+					sent = sent[unaware:]
 				}
-				f.run(set.ColdFor, loose, every)
+				f.run(set.ColdFor-2000*ms, loose, every)
 				worst, first := 0.0, 0
 				for i, at := range sent {
 					for at-sent[first] >= set.FallFor {
@@ -183,10 +202,12 @@
 					from := max(at-set.FallFor, cold.Born)
 					ramp := set.ColdFrom + (1-set.ColdFrom)*float64(from-cold.Born)/float64(set.ColdFor)
 					n := set.FallMultiple * ramp * d.capacity * float64(set.FallFor) / 1e6
-					worst = max(worst, float64(i-first+1)/(n+3*math.Sqrt(n)+3))
+					worst = max(worst, float64(i-first+1)/(n+2*math.Sqrt(n)+2))
 				}
 				if worst > 0.9 || len(sent) == 0 {
 					t.Errorf("%d sent, at most %.2f of what it bears", len(sent), worst)
+				} else {
+					t.Logf("%d sent, at most %.2f of what it bears", len(sent), worst)
 				}
 			})
 		}
