--- a/internal/app/process_test.go
+++ b/internal/app/process_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -54,14 +55,16 @@
 	return ln.Addr().String()
 }
 
-// A process that may hold 128 descriptors, with discovery silent, and many more clients than that which say nothing or
-// stop in their startup: the watch is begun again and again, hosts are dialled, and the clients that ask are served.
-func TestIdleClientsLeaveDescriptors(t *testing.T) {
-	const sockets, idle = 128, 1000
-	r := play(t, 0)
+// process is a gateway of the rig's as a program of its own, with so many descriptors.
+func (r *rig) process(sockets int, known bool) (*exec.Cmd, *record) {
+	t := r.t
+	t.Helper()
 	r.address = unused(t)
 	file := filepath.Join(t.TempDir(), "config.json")
 	conf := strings.Replace(string(r.file(r.disc.Addr())), `{"listen":"127.0.0.1:0"`, fmt.Sprintf(`{"listen":%q,"limits":{"memory_mb":64,"sockets":%d}`, r.address, sockets), 1)
+	if !known {
+		conf = strings.Replace(conf, `"known"`, `"unknown"`, 1)
+	}
 	if err := os.WriteFile(file, []byte(conf), 0o644); err != nil {
 		t.Fatal(err)
 	}
@@ -73,22 +76,58 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
-	asked := func() {
-		t.Helper()
-		select {
-		case <-r.conns: // and not answered
-		case <-time.After(limit):
-			t.Fatalf("discovery is not asked any more:\n%s", log)
+	return cmd, log
+}
+
+// asked waits for the next call to discovery, which is not answered.
+func (r *rig) asked() {
+	r.t.Helper()
+	select {
+	case <-r.conns:
+	case <-time.After(limit):
+		r.t.Fatal("discovery is not asked")
+	}
+}
+
+// A process that is told to end before it has a list, told so again, and told to read its configuration meanwhile, ends in
+// order: what was asked of it is answered.
+func TestEndsBeforeItIsReady(t *testing.T) {
+	r := play(t, 0)
+	cmd, log := r.process(1024, false)
+	r.asked()
+	cl := r.connect()
+	for _, s := range []os.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		if err := cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
 		}
 	}
-	asked()
+	cl.query("")
+	cl.want("error 57P03")
+	cl.query(text(writeText, 1))
+	cl.want("error 53300 after 1000")
+	cl.want("closed")
+	cl.c.Close()
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("%v:\n%s", err, log)
+	}
+	if n := strings.Count(log.String(), "told to end"); n != 1 {
+		t.Errorf("told to end %d times:\n%s", n, log)
+	}
+}
+
+// A process that may hold 128 descriptors, with discovery silent, and many more clients than that which say nothing or
+// stop in their startup: the watch is begun again and again, hosts are dialled, and the clients that ask are served.
+func TestIdleClientsLeaveDescriptors(t *testing.T) {
+	const idle = 1000
+	r := play(t, 0)
+	_, log := r.process(128, true)
+	r.asked()
 	startup := pgwire.AppendStartup(nil, "user", "worker")
 	for i := range idle {
-		cl := r.dial()
-		cl.write(startup[:i%len(startup)])
+		r.dial().write(startup[:i%len(startup)])
 	}
 	for range 3 {
-		asked()
+		r.asked()
 	}
 	cl := r.connect()
 	cl.query(text(writeText, 1))
