--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -234,6 +234,84 @@
 	}
 }
 
+// Discovery comes and goes: each watch says a line and falls silent, or is reset in the middle of a list of no stated length,
+// or is begun just before discovery is there again. What changed meanwhile is told within 6 s of that, and no half list is.
+func TestComesAndGoes(t *testing.T) {
+	list := func(generation int) string {
+		return strings.Replace(wide, `"generation": 41`, fmt.Sprintf(`"generation": %d`, generation), 1)
+	}
+	for name, f := range map[string]func(t *testing.T, s *scene, since func() time.Duration){
+		"a line and silence": func(t *testing.T, s *scene, since func() time.Duration) {
+			for g := 42; g < 50; g++ {
+				a := <-s.calls
+				a.open()
+				a.line(list(g))
+				if l := <-s.lists; l.Generation != int64(g) || since() > 6*time.Second {
+					t.Errorf("told %d after %v", l.Generation, since())
+				}
+			}
+		},
+		"reset in a list": func(t *testing.T, s *scene, since func() time.Duration) {
+			for g := 42; g < 50; g++ {
+				a := <-s.calls
+				if a.request != "/api/targets?stream=1&index=7" {
+					t.Errorf("asked %s", a.request)
+				}
+				a.say(head + "\r\n" + list(g)[:len(list(g))-1])
+				a.Close()
+				if s.why() == nil || len(s.lists) > 0 {
+					t.Error("half a list was taken")
+				}
+			}
+			a := <-s.calls
+			a.say(head + "\r\n" + list(50))
+			if l := <-s.lists; l.Generation != 50 || since() > 6*time.Second {
+				t.Errorf("told %d after %v", l.Generation, since())
+			}
+		},
+		"down for a while": func(t *testing.T, s *scene, since func() time.Duration) {
+			for outage := time.Second; outage < 20*time.Second; outage += 700 * time.Millisecond {
+				var last *answer
+				for end := time.After(outage); ; {
+					select {
+					case last = <-s.calls: // the agent says nothing
+						continue
+					case <-end:
+					}
+					break
+				}
+				since()
+				for told := false; !told; { // it is back: the open call is answered, or else the next
+					if last != nil {
+						last.open()
+						last.line(list(60))
+						last = nil
+					}
+					select {
+					case last = <-s.calls:
+					case <-s.lists:
+						told = true
+					}
+				}
+				if d := since(); d > 6*time.Second {
+					t.Errorf("down for %v: told %v after it", outage, d)
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, NewRetry(300, false, 1), 7, func(s *scene) {
+				last := s.start
+				f(t, s, func() time.Duration {
+					d := time.Since(last)
+					last = time.Now()
+					return d
+				})
+			})
+		})
+	}
+}
+
 // drip says a part each second.
 func drip(a *answer, parts ...string) {
 	if len(parts) == 1 {
