--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -270,7 +270,7 @@
 			}
 		},
 		"down for a while": func(t *testing.T, s *scene, since func() time.Duration) {
-			for outage := time.Second; outage < 20*time.Second; outage += 700 * time.Millisecond {
+			for outage := time.Second; outage < 100*time.Second; outage += outage/6 + 700*time.Millisecond {
 				var last *answer
 				for end := time.After(outage); ; {
 					select {
