--- a/internal/loop/crossing_test.go
+++ b/internal/loop/crossing_test.go
@@ -178,3 +178,33 @@
 		t.Error("still listening")
 	}
 }
+
+// No small write is held back by the system, on any connection: what it held back would go with a reset.
+func TestNoDelay(t *testing.T) {
+	conns := make(chan *Conn, 2)
+	l, ln := run(t, func(c *Conn) Handler { conns <- c; return newHandler() }), listener(t)
+	c, _ := accepted(t, l, conns)
+	late, err := net.Dial("tcp4", l.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer late.Close()
+	rest, err := l.gate.next() // as at the end of the listening; the engine may have been quicker
+	if err == nil {
+		defer rest.Close()
+		raw, _ := rest.(*net.TCPConn).SyscallConn()
+		_ = raw.Control(func(fd uintptr) { wantNoDelay(t, int(fd)) })
+	}
+	p := dialed(t, l, ln)
+	l.do(func() {
+		wantNoDelay(t, c.number())
+		wantNoDelay(t, p.number())
+	})
+}
+
+func wantNoDelay(t *testing.T, fd int) {
+	t.Helper()
+	if v, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY); v == 0 || err != nil {
+		t.Errorf("TCP_NODELAY is %d, %v", v, err)
+	}
+}
