--- a/internal/app/process_test.go
+++ b/internal/app/process_test.go
@@ -89,6 +89,16 @@
 	}
 }
 
+// ready waits until the gateway goes by a list.
+func (r *rig) ready() {
+	r.t.Helper()
+	cl := r.connect()
+	for got := ""; got != "empty"; got = cl.answer() {
+		cl.query("")
+	}
+	cl.c.Close()
+}
+
 // A process that is told to end before it has a list, told so again, and told to read its configuration meanwhile, ends in
 // order: what was asked of it is answered.
 func TestEndsBeforeItIsReady(t *testing.T) {
@@ -137,3 +147,66 @@
 		t.Errorf("out of descriptors:\n%s", s)
 	}
 }
+
+// peak is the most memory that a process has held, in MB.
+func peak(t *testing.T, pid int) int {
+	t.Helper()
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var kb int
+	_, rest, _ := strings.Cut(string(b), "VmHWM:")
+	if _, err := fmt.Sscan(rest, &kb); err != nil {
+		t.Fatal(err)
+	}
+	return kb >> 10
+}
+
+// Many clients that send much and go, whole requests, endless ones and what is none, take no more memory than there is, and
+// who asks in due form is answered meanwhile.
+func TestFloods(t *testing.T) {
+	r := play(t, 0)
+	cmd, log := r.process(1024, true)
+	r.asked()
+	r.ready()
+	startup := pgwire.AppendStartup(nil, "user", "worker")
+	large := strings.Replace(text(writeText, 7), "VALUES", strings.Repeat(" ", 256<<10)+"VALUES", 1)
+	floods := [][]byte{
+		bytes.Repeat(pgwire.AppendQuery(nil, large), 32),
+		append([]byte("Q\x00\x0f\xff\xff"), bytes.Repeat([]byte("x"), 8<<20)...),
+		bytes.Repeat([]byte("\xff\x00GET / HTTP/1.1\r\n"), 1<<19),
+	}
+	var side sync.WaitGroup
+	for i := range 48 {
+		cl := r.dial()
+		side.Go(func() {
+			_, _ = cl.c.Write(append(bytes.Clone(startup), floods[i%len(floods)]...)) // until it is cut off, or all was taken
+			cl.c.Close()
+		})
+	}
+	over := make(chan struct{})
+	go func() { side.Wait(); close(over) }()
+	go func() {
+		for q := range r.hosts[0].queries {
+			q.answer("v")
+		}
+	}()
+	cl, asked := r.connect(), 0
+	for done := false; !done || asked < 20; asked++ {
+		cl.query(text(writeText, 100+asked))
+		if got := cl.answer(); got != "value v" {
+			t.Fatalf("request %d was answered %q:\n%s", asked, got, log)
+		}
+		select {
+		case <-over:
+			done = true
+		default:
+		}
+	}
+	if mb := peak(t, cmd.Process.Pid); mb > 64 {
+		t.Errorf("%d MB of 64 after %d requests:\n%s", mb, asked, log)
+	} else {
+		t.Logf("%d MB of 64, %d requests answered meanwhile", mb, asked)
+	}
+}
