Turn down a word of the settings that is none, in place of taking it for the mildest

Cause: repeat "non-idempotent" for non_idempotent, or none at all, made a class one that may be repeated freely: a write would run twice. An unknown classRead was a read of any age; a missing one as well. Each is now a fault that names its key and what is wanted; the start ends with code 1 and a reload changes nothing.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -266,6 +266,38 @@
 	return nil
 }
 
+// words checks what is told by a word, and the bound that one asks for. One that is misspelt must not pass for the mildest: a write
+// that never may run twice would be repeated, or a read answered from data of any age.
+func words(o *wire.Options) error {
+	type choice struct {
+		key, word string
+		of        []string
+	}
+	all := []choice{
+		{"discovery", o.Discovery, []string{"", "automatic", "subscribe"}},
+		{"extra.serverChecks", o.Extra.ServerChecks, []string{"", "none", "reject", "hold"}},
+		{"extra.tokens", o.Extra.Tokens, []string{"", "client", "router"}},
+	}
+	if n := len(o.Extra.ClassRead); n != len(o.Classes) {
+		return fault("settings.extra.classRead", "names %d classes, but settings.classes has %d", n, len(o.Classes))
+	}
+	for i, c := range o.Classes {
+		key := fmt.Sprintf("classes[%d].", i)
+		all = append(all, choice{key + "repeat", c.Repeat, []string{"read_like", "idempotency_key", "non_idempotent"}},
+			choice{key + "group", c.Group, []string{"", "all", "cell", "zone"}},
+			choice{fmt.Sprintf("extra.classRead[%d]", i), o.Extra.ClassRead[i], []string{"loose", "recent", "own_writes", "latest", "update"}})
+		if o.Extra.ClassRead[i] == "recent" && (i >= len(o.Extra.StalenessBoundMs) || o.Extra.StalenessBoundMs[i] < 0) {
+			return fault(fmt.Sprintf("settings.extra.stalenessBoundMs[%d]", i), "must be there, and not below 0, where classRead is recent")
+		}
+	}
+	for _, c := range all {
+		if !slices.Contains(c.of, c.word) {
+			return fault("settings."+c.key, "is %q; want one of %s", c.word, strings.TrimPrefix(strings.Join(c.of, ", "), ", "))
+		}
+	}
+	return nil
+}
+
 // settings maps the simulator's settings object, with the adapter's own code.
 func (c *Config) settings(raw json.RawMessage) error {
 	if len(raw) == 0 {
@@ -315,6 +347,9 @@
 	} else if *o.Ordinal < 0 || *o.Ordinal >= max(o.Balancers, 1) {
 		return fault("settings.ordinal", "is %d, but there are %d balancers, counted from 0", *o.Ordinal, o.Balancers)
 	}
+	if err := words(&o); err != nil {
+		return err
+	}
 	s, _ := o.Settings()
 	if c.Peer.Listen == "" || !c.Peer.All.IsValid() { // nobody would hear it
 		s.Gateways, s.TellEarn = 0, 0
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -50,6 +50,16 @@
 		{`"name":"lookup"`, `"name":""`, "settings.classes[0].name"},
 		{`"aimMs":500`, `"aimMs":0`, "settings.classes[1].aimMs"},
 		{`"deadlineMs":3000`, `"deadlineMs":0`, "settings.classes[1].deadlineMs"},
+		{`"repeat":"non_idempotent"`, `"repeat":"non-idempotent"`, "settings.classes[1].repeat"},
+		{`,"repeat":"non_idempotent"`, ``, "settings.classes[1].repeat"},
+		{`"repeat":"non_idempotent"`, `"repeat":"non_idempotent","group":"shelf"`, "settings.classes[1].group"},
+		{`["recent","update"]`, `["recent","updates"]`, "settings.extra.classRead[1]"},
+		{`["recent","update"]`, `["recent"]`, "settings.extra.classRead"},
+		{`[500,0]`, `[-1,0]`, "settings.extra.stalenessBoundMs[0]"},
+		{`[500,0]`, `[]`, "settings.extra.stalenessBoundMs[0]"},
+		{`"extra":{`, `"extra":{"serverChecks":"maybe",`, "settings.extra.serverChecks"},
+		{`"extra":{`, `"extra":{"tokens":"gateway",`, "settings.extra.tokens"},
+		{`"tickMs":5`, `"tickMs":5,"discovery":"push"`, "settings.discovery"},
 		{good, `{`, "EDGE_CONFIG"},
 	} {
 		text := strings.Replace(good, c.old, c.new, 1)
@@ -96,7 +106,7 @@
 // The number of gateways may be left out, but not contradict the list of peers.
 func TestNumberOfGateways(t *testing.T) {
 	const conf = `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","peer_listen":"127.0.0.1:3","peers_all":"127.0.0.1:4",
-		"peers":["127.0.0.1:3","127.0.0.1:5"],"settings":{%s"limits":{"maxAttempts":3,"mayTell":true},"tickMs":1,"classes":[{"name":"a","aimMs":1,"deadlineMs":2}]}}`
+		"peers":["127.0.0.1:3","127.0.0.1:5"],"settings":{%s"limits":{"maxAttempts":3,"mayTell":true},"tickMs":1,"classes":[{"name":"a","aimMs":1,"deadlineMs":2,"repeat":"read_like"}],"extra":{"classRead":["loose"]}}}`
 	none := func(string) string { return "" }
 	for text, want := range map[string]int{"": 2, `"balancers":2,`: 2, `"balancers":0,`: 2, `"balancers":80,`: 0, `"balancers":-1,`: 0} {
 		c, err := Parse([]byte(fmt.Sprintf(conf, text)), none)
--- a/internal/storecli/daemon_test.go
+++ b/internal/storecli/daemon_test.go
@@ -85,7 +85,7 @@
 	}
 	conf := filepath.Join(r.dir, "config.json")
 	if err := os.WriteFile(conf, []byte(`{"name":"a","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"tickMs":5,
-		"classes":[{"name":"x","aimMs":1,"deadlineMs":1}],"limits":{"maxAttempts":1}}}`), 0o600); err != nil {
+		"classes":[{"name":"x","aimMs":1,"deadlineMs":1,"repeat":"read_like"}],"extra":{"classRead":["loose"]},"limits":{"maxAttempts":1}}}`), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	r.getenv = func(k string) string {
