Take what was read before a connection is ended between two requests

Cause: the look at a connection that ends comes by a timer, too, and where it came between an answer and the next request, which waits in the queue, nothing seemed owed: the connection was ended over a request that was read. Ruled out: unread bytes (counted), half a message (looked at). Test: TestEndBetweenTwoPipelinedRequests, fails without the mend.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -315,7 +315,7 @@
 // a request meanwhile: unless the connection is dead that one is taken and answered first, also where it is in the socket
 // and was not read yet. One that has just come has a moment for its first request.
 func (c *client) part() {
-	if c.closed || c.parted || c.waiting || len(c.in) > 0 {
+	if c.closed || c.parted || c.waiting || len(c.in) > 0 || len(c.queue) > 0 { // next comes back to it
 		return
 	}
 	switch {
