--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -177,8 +177,8 @@
 		return
 	}
 	h.waiting = append(h.waiting, at)
-	if len(p.conns) >= p.limits.Connections && !p.evict() { // the lack is ours, and says nothing of the host
-		p.finishLater(at, balance.Skipped)
+	if len(p.conns) >= p.limits.Connections && !p.evict() {
+		p.finishLater(at, balance.Refused)
 		return
 	}
 	p.dial(h)
