Have the test of a cut-off instance wait until its age is known

Cause: an instance asks every two ticks how old its state is, and the test stopped the other two once the key was there, which may be before the first such question was answered. Its age is then rightly not known for ever, and the test waited 60 s for an age. What is checked afterwards is as before.

--- a/internal/store/node/node_test.go
+++ b/internal/store/node/node_test.go
@@ -193,10 +193,11 @@
 	r := newRig(t, 3)
 	c := r.client("operator")
 	r.put(c, "k", "v")
-	r.until("n0 has it", func() bool {
+	// Cut off before its first question was answered it would never know an age, and say so.
+	r.until("n0 has it, and knows its age", func() bool {
 		found := false
-		_, err := r.nodes[0].Read(r.ctx, true, func(m *machine.Machine) { _, found = m.Get("n", "k") })
-		return err == nil && found
+		age, err := r.nodes[0].Read(r.ctx, true, func(m *machine.Machine) { _, found = m.Get("n", "k") })
+		return err == nil && found && age >= 0
 	})
 	for _, i := range []int{1, 2} {
 		r.nodes[i].once.Do(func() { close(r.nodes[i].stop) })
