Have an attempt wait for a connection of ours, and go with a host that moves

Cause: with as many connections to hosts as there may be, all at work, an attempt ended as refused by its host, which was doubted, and the probe that was to decide ended likewise and found it down. Now they wait for the first connection that is no longer at work, as long as for a dial, and end as skipped then. And an attempt that waited for a dial to an old address of its host waited until that dial came up or was given up; it is dialled anew at once, and of a host that is gone decided anew.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -970,7 +970,7 @@
 		// One connection that breaks is no death: who is dead breaks the next ones, too, and at once.
 		broke := ev.Result == Refused || ev.Result == Reset
 		switch {
-		case h.heard >= h.probedAt:
+		case h.heard >= h.probedAt, ev.Result == Skipped: // it was not asked
 		case broke && h.cond == up:
 			r.doubt(h)
 		case broke && h.cond == doubted && !h.again:
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1265,3 +1265,15 @@
 		t.Error("the window does not bind to the microsecond, a period before its end")
 	}
 }
+
+// A probe that was never sent, for want of a connection of ours, says nothing of its host.
+func TestProbeThatWasNotSentIsNoDeath(t *testing.T) {
+	g := readyRig(t, testSettings())
+	g.wait(1000 * ms)
+	g.r.doubt(g.r.hosts["a"])
+	g.now += ms
+	g.do(Event{Kind: ProbedEvent, Host: "a", Result: Skipped})
+	if h := g.r.hosts["a"]; h.cond == down || h.group.primary != h {
+		t.Error("found down by a probe that was not sent")
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -3,6 +3,8 @@
 package backend
 
 import (
+	"slices"
+
 	"github.com/rs/zerolog"
 
 	"cloverrock/balance"
@@ -42,6 +44,7 @@
 	dials  int                // connections begun since the start
 	broken int                // of these, those that never came up
 	out    map[int64]*attempt
+	short  []*attempt // those that lack a connection of ours, in the order in which they came
 }
 
 // host is one database host with its connections.
@@ -62,6 +65,7 @@
 	conn  *conn // nil while it waits for one
 	sent  int64
 	timer *loop.Timer
+	short bool // it lacks a connection of ours
 	ended bool // its outcome was told
 }
 
@@ -107,13 +111,32 @@
 		}
 		if h.gone = false; h.address != address {
 			h.address = address
-			p.CloseIdle(id)
+			p.leave(h)
+			for range h.waiting {
+				p.dial(h)
+			}
 		}
 	}
 	for _, id := range gone {
 		if h := p.hosts[id]; h != nil {
 			h.gone = true
-			p.CloseIdle(id)
+			p.leave(h)
+			for _, at := range slices.Concat(h.waiting, p.short) {
+				if at.host == h {
+					p.finishLater(at, balance.Skipped)
+				}
+			}
+		}
+	}
+}
+
+// leave gives up the connections to a host that carry nothing: those that rest, and those that are being dialled, which
+// may not come up for long.
+func (p *Pool) leave(h *host) {
+	p.CloseIdle(h.id)
+	for c := range p.conns {
+		if c.host == h && c.state == dialing {
+			c.close()
 		}
 	}
 }
@@ -176,12 +199,33 @@
 		c.carry(at)
 		return
 	}
-	h.waiting = append(h.waiting, at)
-	if len(p.conns) >= p.limits.Connections && !p.evict() {
-		p.finishLater(at, balance.Refused)
-		return
+	p.short = append(p.short, at)
+	if at.short = true; !p.supply() {
+		p.loop.At(p.loop.Now()+p.limits.DialTimeout, func() {
+			if at.short {
+				p.abandon(at, balance.Skipped)
+			}
+		})
+	}
+}
+
+// supply dials for the attempts that lack a connection, as far as there may be more, and tells whether none is left. The
+// lack is ours and says nothing of a host: such an attempt waits, for as long as it would for a dial, and ends as skipped.
+func (p *Pool) supply() bool {
+	for len(p.short) > 0 && (len(p.conns) < p.limits.Connections || p.evict()) {
+		at := p.short[0]
+		p.forget(at)
+		at.host.waiting = append(at.host.waiting, at)
+		p.dial(at.host)
+	}
+	return len(p.short) == 0
+}
+
+// spare notes that a connection is no longer at work.
+func (p *Pool) spare() {
+	if len(p.short) > 0 {
+		p.loop.Post(func() { p.supply() })
 	}
-	p.dial(h)
 }
 
 func (p *Pool) dial(h *host) {
@@ -220,7 +264,7 @@
 		at.conn.close()
 		unrun = !at.conn.net.Flushed()
 	}
-	if unrun && !at.probe {
+	if unrun && (!at.probe || at.short) {
 		result = balance.Skipped
 	}
 	p.finish(at, gateway.Outcome{Result: result})
@@ -228,9 +272,7 @@
 
 // finishLater ends an attempt in a round of its own.
 func (p *Pool) finishLater(at *attempt, result balance.Result) {
-	if h := at.host; h != nil {
-		h.forget(at)
-	}
+	p.forget(at)
 	p.loop.Post(func() { p.finish(at, gateway.Outcome{Result: result}) })
 }
 
@@ -241,9 +283,7 @@
 	}
 	at.ended = true
 	at.timer.Stop()
-	if at.host != nil {
-		at.host.forget(at)
-	}
+	p.forget(at)
 	if at.conn != nil {
 		at.conn.attempt = nil
 		at.conn = nil
@@ -257,13 +297,23 @@
 	p.events.Ended(at.Attempt, o)
 }
 
+// next is the attempt that has waited longest for a connection to a host; nil if none does.
+func (p *Pool) next(h *host) *attempt {
+	if len(h.waiting) > 0 {
+		return h.waiting[0]
+	}
+	if i := slices.IndexFunc(p.short, func(at *attempt) bool { return at.host == h }); i >= 0 {
+		return p.short[i]
+	}
+	return nil
+}
+
 // forget takes an attempt out of those that wait.
-func (h *host) forget(at *attempt) {
-	for i, w := range h.waiting {
-		if w == at {
-			h.waiting = append(h.waiting[:i], h.waiting[i+1:]...)
-			return
-		}
+func (p *Pool) forget(at *attempt) {
+	is := func(w *attempt) bool { return w == at }
+	p.short = slices.DeleteFunc(p.short, is)
+	if at.short = false; at.host != nil {
+		at.host.waiting = slices.DeleteFunc(at.host.waiting, is)
 	}
 }
 
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -215,19 +215,16 @@
 	if c.address != h.address || h.gone {
 		c.state = busy // no dial any more
 		c.leave()
-		if len(h.waiting) > h.dialing { // nobody else would come for it: it is unrun, and decided anew
-			c.pool.finishLater(h.waiting[0], balance.Refused)
-		}
 		return
 	}
-	if len(h.waiting) > 0 {
-		at := h.waiting[0]
-		h.waiting = h.waiting[1:]
+	if at := c.pool.next(h); at != nil {
+		c.pool.forget(at)
 		c.carry(at)
 		return
 	}
 	c.state, c.idleAt = idle, c.pool.loop.Now()
 	h.idle = append(h.idle, c)
+	c.pool.spare()
 }
 
 // carry writes an attempt, unless the decision to send it has aged while it waited.
@@ -374,4 +371,5 @@
 	c.in = nil
 	c.count()
 	c.net.Close()
+	c.pool.spare()
 }
