Let a client's goodbye not cut off the answer before it

It ends as after a fatal error now: when all is written, by a lingering close. Test: TestGoodbyeBeforeTheAnswerIsOut, seen to fail with the close.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -210,7 +210,7 @@
 	started bool
 	surplus bool
 	closed  bool
-	dead    bool   // a fatal error was sent: what comes now means nothing
+	dead    bool   // a fatal error was sent, or the client has said goodbye: what comes now means nothing
 	parted  bool   // our side has ended: what comes now is not even read
 	pid     uint32 // its number in keys, 0 if it has none
 	secret  [4]byte
@@ -542,7 +542,7 @@
 	case 'Q':
 		c.query(cmd)
 	case 'X':
-		c.close()
+		c.finish() // what was answered before may still be on its way
 	case 'S':
 		c.skip = false
 		c.net.Write(pgwire.AppendReadyForQuery(nil))
@@ -658,6 +658,11 @@
 // fatal says why the connection ends, and ends it.
 func (c *client) fatal(code, message string) {
 	c.net.Write(pgwire.AppendError(nil, pgwire.Error{Severity: "FATAL", Code: code, Message: message}))
+	c.finish()
+}
+
+// finish ends the connection once what was written to it is on its way; what comes now means nothing.
+func (c *client) finish() {
 	c.dead, c.queue, c.in, c.since = true, nil, nil, c.server.loop.Now()
 	c.work()
 	c.count()
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -23,46 +24,92 @@
 func (asked) Gone(int64)                       {}
 func (asked) Ready() bool                      { return true }
 
-// At the end a look at a connection may come between an answer and the next request of the same client, which was read long
-// ago: that one is taken and answered before the connection ends.
-func TestEndBetweenTwoPipelinedRequests(t *testing.T) {
+// serve starts a server with so many connections and a gateway that a test plays, and returns a client's connection.
+func serve(t *testing.T) (*loop.Loop, *Server, asked, net.Conn) {
+	t.Helper()
 	l, requests := loop.New(64, 1<<20, zerolog.Nop()), make(asked, 2)
 	s := New(l, requests, map[string]Class{"look": {Deadline: limit.Microseconds()}}, Limits{Connections: 4, Asked: 4, Bytes: 1 << 20, Silence: 3600e6, Resting: 3600e6}, zerolog.Nop())
 	if err := l.Start("127.0.0.1:0", 4, s.Accept); err != nil {
 		t.Fatal(err)
 	}
 	go l.Run()
-	defer func() { l.Post(func() { l.StopListening(func() {}); l.Stop() }); <-l.Done() }()
+	t.Cleanup(func() { l.Post(func() { l.StopListening(func() {}); l.Stop() }); <-l.Done() })
 	peer, err := net.Dial("tcp4", l.Address())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer peer.Close()
+	t.Cleanup(func() { peer.Close() })
 	_ = peer.SetDeadline(time.Now().Add(limit))
-	b := pgwire.AppendStartup(nil, "user", "worker")
-	for _, id := range []string{"1", "2"} {
-		b = pgwire.AppendQuery(b, "/* id="+id+",c=look,d=9000,cluster=1 */ SELECT body FROM objects WHERE oid = 'k'")
+	return l, s, requests, peer
+}
+
+func look(b []byte, id int) []byte {
+	return pgwire.AppendQuery(b, fmt.Sprintf("/* id=%d,c=look,d=9000,cluster=1 */ SELECT body FROM objects WHERE oid = 'k'", id))
+}
+
+func answer(c gateway.Client, value string) {
+	c.Serve(pgwire.AppendCommandComplete(pgwire.AppendRow(nil, "body", value), "SELECT 1"))
+}
+
+// next waits for a request.
+func (a asked) next(t *testing.T) *client {
+	t.Helper()
+	select {
+	case c := <-a:
+		return c.(*client)
+	case <-time.After(limit):
+		t.Fatal("the request is not taken")
+		return nil
 	}
-	if _, err := peer.Write(b); err != nil {
+}
+
+// At the end a look at a connection may come between an answer and the next request of the same client, which was read long
+// ago: that one is taken and answered before the connection ends.
+func TestEndBetweenTwoPipelinedRequests(t *testing.T) {
+	l, s, requests, peer := serve(t)
+	if _, err := peer.Write(look(look(pgwire.AppendStartup(nil, "user", "worker"), 1), 2)); err != nil {
 		t.Fatal(err)
 	}
-	answer := func(c gateway.Client, value string) {
-		c.Serve(pgwire.AppendCommandComplete(pgwire.AppendRow(nil, "body", value), "SELECT 1"))
-	}
-	first := (<-requests).(*client)
+	first := requests.next(t)
 	l.Post(func() {
 		s.End(func() {})
 		answer(first, "one")
 		first.part() // as its timer has it, before the next request is taken
 	})
-	select {
-	case c := <-requests:
-		l.Post(func() { answer(c, "two") })
-	case <-time.After(limit):
-		t.Fatal("the second request is not taken")
-	}
+	c := requests.next(t)
+	l.Post(func() { answer(c, "two") })
 	got, err := io.ReadAll(peer)
 	if err != nil || !strings.Contains(string(got), "one") || !strings.Contains(string(got), "two") {
 		t.Errorf("%q, %v", got, err)
 	}
 }
+
+// A client says goodbye while a part of its last answer is yet to go out, since it reads slowly: it gets all of it.
+func TestGoodbyeBeforeTheAnswerIsOut(t *testing.T) {
+	l, _, requests, peer := serve(t)
+	if _, err := peer.Write(pgwire.AppendStartup(nil, "user", "worker")); err != nil {
+		t.Fatal(err)
+	}
+	value, sent, unwritten := strings.Repeat("v", 16<<10), 0, false
+	for ; !unwritten; sent++ {
+		if sent == 4000 {
+			t.Fatal("64 MB were written to a client that reads nothing")
+		}
+		if _, err := peer.Write(look(nil, sent)); err != nil {
+			t.Fatal(err)
+		}
+		c, done := requests.next(t), make(chan struct{})
+		l.Post(func() {
+			answer(c, value)
+			if unwritten = c.net.Unwritten() > 0; unwritten {
+				c.Data([]byte("X\x00\x00\x00\x04")) // as it comes from the socket
+			}
+			close(done)
+		})
+		<-done
+	}
+	got, err := io.ReadAll(peer)
+	if n := strings.Count(string(got), value); err != nil || n != sent || !strings.HasSuffix(string(got), "Z\x00\x00\x00\x05I") {
+		t.Errorf("%d of %d answers, %v", n, sent, err)
+	}
+}
