See that a client has left behind bytes of its that nobody has read

Cause: the last look before an attempt's first byte peeked into the client's socket, which shows the end only where nothing lies before it: a client that left with commands on their way, while the engine waited, passed for one that is there. The state of the TCP connection is asked now where there are bytes (CLOSE_WAIT after a close, CLOSE after a reset). Test: TestLeftIsSeenBehindUnreadBytes for a close, a half close and a reset; all three fail without it.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
 )
 
 // Conn is one TCP connection. Its methods belong to the loop's goroutine.
@@ -227,8 +228,8 @@
 	}
 }
 
-// Left tells that the peer has ended the connection, or the network has, whether or not the handler was told. Behind
-// bytes that nobody has read yet the end is not seen.
+// Left tells that the peer has ended the connection, or the network has, whether or not the handler was told, and whether
+// or not bytes that nobody has read yet lie before the end: the state of the connection tells then.
 func (c *Conn) Left() bool {
 	if c.closed || c.nb == nil {
 		return true
@@ -239,6 +240,10 @@
 		return true
 	}
 	n, err := c.peek()
+	if n > 0 && !c.shut {
+		info, e := unix.GetsockoptTCPInfo(c.number(), unix.IPPROTO_TCP, unix.TCP_INFO)
+		return e == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
+	}
 	return n <= 0 && !errors.Is(err, syscall.EAGAIN)
 }
 
--- a/internal/loop/crossing_test.go
+++ b/internal/loop/crossing_test.go
@@ -66,6 +66,45 @@
 	wait(t, c.data, "the byte")
 }
 
+// A peer that has left is seen to have, though bytes that the engine has yet to read lie before its end; one that is there
+// and has only sent them is not.
+func TestLeftIsSeenBehindUnreadBytes(t *testing.T) {
+	for name, leave := range map[string]func(*net.TCPConn) error{
+		"closes":   (*net.TCPConn).Close,
+		"half":     (*net.TCPConn).CloseWrite,
+		"is reset": func(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) },
+		"stays":    nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, ln := New(1024, 1, zerolog.Nop()), listener(t) // two bytes that are not handled make the engine wait
+			if err := l.Start("", 0, nil); err != nil {
+				t.Fatal(err)
+			}
+			go l.Run()
+			defer func() { l.Post(l.Stop); <-l.Done() }()
+			flood, other, c := dialed(t, l, ln), dialed(t, l, ln), dialed(t, l, ln)
+			l.do(func() {
+				_, _ = flood.peer.Write([]byte("xx"))
+				until(t, "the flood", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.bytes == 2 })
+				other.send(t)
+				until(t, "the engine", func() bool { other.mu.Lock(); defer other.mu.Unlock(); return other.unread == 1 })
+				c.send(t) // not read: the engine waits to tell of the other's
+				until(t, "the byte", func() bool { return !c.Quiet() })
+				if c.Left() {
+					t.Error("left while it is there")
+				}
+				if leave != nil {
+					_ = leave(c.peer.(*net.TCPConn))
+					until(t, "the end", c.Left)
+				}
+				if n, _ := c.peek(); n != 1 && name != "is reset" {
+					t.Error("the byte was read meanwhile")
+				}
+			})
+		})
+	}
+}
+
 // Once our side has ended, what still comes is thrown away: it resets nothing that is on its way to the peer, and is
 // never told. The peer's end is.
 func TestLingers(t *testing.T) {
