Stop the engines of tests, so that many rounds run in one process

Cause: a loop that had ended left its engine, its sockets and two goroutines to the end of the process, which is right for the gateway, but 200 rounds of a test took 200 processes: the engine's table has 1024 places. Loop.Close ends them.

--- a/internal/app/rig_test.go
+++ b/internal/app/rig_test.go
@@ -404,13 +404,7 @@
 		defer close(r.ended)
 		r.s.loop.Run()
 	}()
-	t.Cleanup(func() {
-		r.s.loop.Post(func() {
-			r.s.loop.StopListening(func() {})
-			r.s.loop.Stop()
-		})
-		<-r.ended
-	})
+	t.Cleanup(r.s.loop.Close)
 	return r
 }
 
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -108,7 +108,7 @@
 		t.Fatal(err)
 	}
 	go r.loop.Run()
-	t.Cleanup(func() { r.loop.Post(r.loop.Stop); <-r.loop.Done() })
+	t.Cleanup(r.loop.Close)
 	r.do(func() {
 		r.pool = New(r.loop, r.told, Limits{DialTimeout: dial.Microseconds(), IdleClose: 3600e6, Connections: connections, Bytes: 1 << 20}, zerolog.Nop())
 	})
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -33,7 +33,7 @@
 		t.Fatal(err)
 	}
 	go l.Run()
-	t.Cleanup(func() { l.Post(func() { l.StopListening(func() {}); l.Stop() }); <-l.Done() })
+	t.Cleanup(l.Close)
 	peer, err := net.Dial("tcp4", l.Address())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/loop/crossing_test.go
+++ b/internal/loop/crossing_test.go
@@ -41,7 +41,7 @@
 		t.Fatal(err)
 	}
 	go l.Run()
-	defer func() { l.Post(l.Stop); <-l.Done() }()
+	defer l.Close()
 	flood, c := dialed(t, l, ln), dialed(t, l, ln)
 	empty := func() bool {
 		c.mu.Lock()
@@ -81,7 +81,7 @@
 				t.Fatal(err)
 			}
 			go l.Run()
-			defer func() { l.Post(l.Stop); <-l.Done() }()
+			defer l.Close()
 			flood, other, c := dialed(t, l, ln), dialed(t, l, ln), dialed(t, l, ln)
 			l.do(func() {
 				_, _ = flood.peer.Write([]byte("xx"))
@@ -168,7 +168,7 @@
 		t.Fatal(err)
 	}
 	go l.Run()
-	defer func() { l.Post(func() { l.StopListening(func() {}); l.Stop() }); <-l.Done() }()
+	defer l.Close()
 	for range all {
 		peer, err := net.Dial("tcp4", l.Address())
 		if err != nil {
--- a/internal/loop/gate.go
+++ b/internal/loop/gate.go
@@ -13,7 +13,7 @@
 
 // gate is a listener that can be shut alone, and that accepts no more than there are descriptors for: however many
 // connections come at once, the rest wait in the system's queue. The engine calls Accept again and again after an error,
-// so one that fails for good would spin: once shut, Accept waits for the end of the process, and it pauses after a
+// so one that fails for good would spin: once shut, Accept waits for the end of the engine, and it pauses after a
 // failure such as a lack of descriptors.
 type gate struct {
 	*net.TCPListener
@@ -25,16 +25,21 @@
 	open int
 	shut bool
 	done func() // called when nothing more is accepted
+	over chan struct{}
+
+	begun            chan struct{} // the engine's goroutine is here
+	beginOnce, final sync.Once
 }
 
 func newGate(ln *net.TCPListener, most int, log zerolog.Logger) *gate {
-	g := &gate{TCPListener: ln, most: most, log: log}
+	g := &gate{TCPListener: ln, most: most, log: log, over: make(chan struct{}), begun: make(chan struct{})}
 	g.free = sync.NewCond(&g.mu)
 	return g
 }
 
 // Accept implements net.Listener.
 func (g *gate) Accept() (net.Conn, error) {
+	g.beginOnce.Do(func() { close(g.begun) })
 	for !g.full() {
 		c, err := g.TCPListener.Accept()
 		if err == nil {
@@ -52,7 +57,8 @@
 	if g.done != nil {
 		g.done()
 	}
-	select {}
+	<-g.over
+	return nil, net.ErrClosed
 }
 
 // full waits until one more may be accepted, and tells whether the gate was shut.
@@ -102,9 +108,10 @@
 	g.free.Signal()
 }
 
-// Close implements net.Listener.
+// Close implements net.Listener: the engine ends.
 func (g *gate) Close() error {
 	g.stop(nil)
+	g.final.Do(func() { close(g.over) })
 	return nil
 }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -43,6 +43,7 @@
 	// backlog bounds the bytes read and not yet handled. A poller that has read more waits, so that a client
 	// that floods the program is slowed by its own socket and not held in memory.
 	backlog int
+	over    bool // Run has ended: nobody makes room any more
 	wake    chan struct{}
 
 	spare   []event
@@ -196,7 +197,7 @@
 
 func (l *Loop) post(ev event) {
 	l.mu.Lock()
-	for ev.kind == read && l.bytes > l.backlog {
+	for ev.kind == read && l.bytes > l.backlog && !l.over {
 		l.room.Wait()
 	}
 	l.queue = append(l.queue, ev)
@@ -248,9 +249,52 @@
 // Done is closed when Run has ended: what is posted from then on is not run.
 func (l *Loop) Done() <-chan struct{} { return l.done }
 
-// Stop ends Run after the event that is being handled. The sockets are left to the end of the process.
+// Stop ends Run after the event that is being handled. The sockets are left to the end of the process, or to Close.
 func (l *Loop) Stop() { l.stopped = true }
 
+// Close ends Run, if it has not ended, and then the engine with its sockets and goroutines, for a process that goes on. It
+// is called from outside the loop's goroutine. A process that ends leaves all that to the system, which does not wait.
+func (l *Loop) Close() {
+	l.begun()
+	l.Post(l.Stop)
+	<-l.done
+	l.mu.Lock()
+	l.over = true
+	l.mu.Unlock()
+	l.room.Broadcast()
+	l.engine.Stop()
+}
+
+// begun waits until the engine's goroutines run. They take back any word of their end as they begin, and one that was told
+// too soon would run for good.
+func (l *Loop) begun() {
+	if l.gate != nil {
+		<-l.gate.begun
+	}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return
+	}
+	defer ln.Close()
+	s := seen(make(chan struct{}))
+	l.Post(func() { l.Dial(ln.Addr().String(), s) })
+	go func() {
+		if c, err := ln.Accept(); err == nil {
+			c.Close()
+		}
+	}()
+	select {
+	case <-s:
+	case <-l.done: // it has served
+	}
+}
+
+// seen is a handler that waits for the end.
+type seen chan struct{}
+
+func (seen) Data([]byte)    {}
+func (s seen) Closed(error) { close(s) }
+
 func (l *Loop) handle(ev *event) {
 	c := ev.conn
 	if ev.kind == read {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -32,12 +32,8 @@
 	if err := l.Start("127.0.0.1:0", 512, accept); err != nil {
 		t.Fatal(err)
 	}
-	ended := make(chan struct{})
-	go func() { l.Run(); close(ended) }()
-	t.Cleanup(func() {
-		l.Post(func() { l.StopListening(func() {}); l.Stop() })
-		<-ended
-	})
+	go l.Run()
+	t.Cleanup(l.Close)
 	return l
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -18,9 +18,8 @@
 	if err := l.Start("", 0, nil); err != nil {
 		t.Fatal(err)
 	}
-	ended := make(chan struct{})
-	go func() { l.Run(); close(ended) }()
-	defer func() { l.Post(l.Stop); <-ended }()
+	go l.Run()
+	defer l.Close()
 	open := func() (*net.UDPConn, netip.AddrPort) {
 		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		if err != nil {
