--- a/internal/app/process_test.go
+++ b/internal/app/process_test.go
@@ -198,8 +198,9 @@
 }
 
 // Many clients that send much and go, whole requests, endless ones and what is none, take no more memory than there is, and
-// who asks in due form is answered meanwhile.
+// who asks in due form is answered meanwhile, each time within the request's own time.
 func TestFloods(t *testing.T) {
+	const answered = 3 * time.Second // the time that a request has: later it would be refused
 	r := play(t, 0)
 	cmd, log := r.process(1024, true)
 	r.asked()
@@ -226,12 +227,14 @@
 			q.answer("v")
 		}
 	}()
-	cl, asked := r.connect(), 0
+	cl, asked, longest := r.connect(), 0, time.Duration(0)
 	for done := false; !done || asked < 20; asked++ {
-		cl.query(text(writeText, 100+asked))
+		began := time.Now()
+		cl.query(fmt.Sprintf(writeText, 100+asked, answered.Milliseconds()))
 		if got := cl.answer(); got != "value v" {
 			t.Fatalf("request %d was answered %q:\n%s", asked, got, log)
 		}
+		longest = max(longest, time.Since(began))
 		select {
 		case <-over:
 			done = true
@@ -241,6 +244,6 @@
 	if mb := peak(t, cmd.Process.Pid); mb > 64 {
 		t.Errorf("%d MB of 64 after %d requests:\n%s", mb, asked, log)
 	} else {
-		t.Logf("%d MB of 64, %d requests answered meanwhile", mb, asked)
+		t.Logf("%d MB of 64, %d requests answered meanwhile, the slowest in %v", mb, asked, longest)
 	}
 }
