Keep reads back by how all of a router's attempts fare, where it meets hosts seldom

Change: the share of their aim that all own attempts take is kept (internal/gossip, Busy), and where a router has less than a request for each host and second a part of its reads is kept back by it, as by the host's own. Test: TestReadsAreSparedByHowAllAttemptsFare, seen to fail without the rule.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,7 @@
 	lowShare     = 0.28 // a host whose answers take less of their aim than this may be given more at once
 	openWeight   = 16.0 // how much more often a host is drawn that we have a connection to
 	spareShare   = 0.3  // above this a part of reads is kept from a host, all of them at 1
+	seldom       = 1.0  // with fewer requests for each host and second it goes by all hosts together as well
 	highShare    = 0.4  // above this it is given less; between the two its limit rests
 	cut          = 0.8  // what a cut leaves of the limit: several routers cut at once, so gently
 	maxMisfits   = 8    // reads that find no host before the others of a group are left for later
@@ -350,7 +351,11 @@
 		}
 	}
 	// Of many routers each has too few out for its limit to bind, so each leaves out a part of its reads.
-	spare := q.class.Need != Update && q.luck*(1-spareShare) > 1-h.share
+	share := h.share
+	if r.perHost < seldom {
+		share = max(share, r.news.Busy())
+	}
+	spare := q.class.Need != Update && q.luck*(1-spareShare) > 1-share
 	q.spared = q.spared || spare
 	return !spare
 }
@@ -401,8 +406,7 @@
 	for _, q := range h.out { // not to answer says as much as a late answer does, and sooner
 		if late := float64(q.judged+1) / 2; late <= 1 && r.now-q.sentAt > int64(late*float64(q.class.Aim)) {
 			q.judged++
-			r.news.Sample(h.id, late, false)
-			r.judge(h, late)
+			r.weigh(h, late)
 		}
 	}
 	patience := max(h.lat, (h.lat+4*h.dev)/float64(max(min(len(h.out), 4), 1)), float64(r.period())) +
@@ -427,8 +431,7 @@
 		mix(&r.cost[q.kind], t, smooth*smooth)
 		mix(&h.group.lat, t, smooth)
 	}
-	r.news.Sample(h.id, share, false)
-	r.judge(h, share)
+	r.weigh(h, share)
 }
 
 // judge takes how much of its aim an answer took, ours or one that another router tells of.
@@ -517,8 +520,7 @@
 		g.lostAt = r.now
 	}
 	for _, m := range g.members {
-		if len(g.wait) > 0 &&
-			r.now >= m.findAt && (m.cond == up || r.now >= m.retryAt) {
+		if len(g.wait) > 0 && r.now >= m.findAt && (m.cond == up || r.now >= m.retryAt) {
 			m.findAt = r.now + r.apart(max(r.pace(), (r.now-g.lostAt)/8))
 			r.probe(m, 0)
 		}
@@ -693,10 +695,9 @@
 			b, kb = m, k
 		}
 	}
-	if a != nil {
-		if b != nil && r.lessBusy(b, a) {
-			return b
-		}
+	if b != nil && r.lessBusy(b, a) {
+		return b
+	} else if a != nil {
 		return a
 	}
 	// What a session has just written is at the primary; a bounded read asks whether a replica has caught up.
@@ -819,8 +820,7 @@
 		}
 	case Full, Refused, Reset:
 		if ev.Result == Full {
-			r.news.Sample(h.id, 1, false)
-			r.judge(h, 1)
+			r.weigh(h, 1)
 		}
 		// A full table refuses new connections at once and leaves open ones alone; bad links do neither.
 		if ev.Result == Refused && ev.Took < r.set.DialTimeout/2 && q != nil && q.dials {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1277,3 +1277,35 @@
 		t.Error("found down by a probe that was not sent")
 	}
 }
+
+// A router of hundreds meets a host once in some seconds, and knows few well. If all its attempts together take all of their
+// aim, most reads are kept from each host; a write is not, and once they fare well again nothing is.
+func TestReadsAreSparedByHowAllAttemptsFare(t *testing.T) {
+	g := readyRig(t, testSettings())
+	g.r.now = g.now
+	a, b := g.r.hosts["a"], g.r.hosts["b"]
+	read := &request{class: &g.r.set.Classes[recent], luck: 0.9}
+	room := func() bool { read.spared = false; return g.r.room(read, a) }
+	if !room() || read.spared {
+		t.Error("spared before anything is known")
+	}
+	for range 200 {
+		g.r.weigh(b, 1)
+	}
+	if room() || !read.spared {
+		t.Error("not spared, although all attempts take their aim")
+	}
+	if g.r.perHost = 2; !room() {
+		t.Error("spared by a router that meets each host often")
+	}
+	g.r.perHost = 0.5
+	if write := (&request{class: &g.r.set.Classes[unsafe], luck: 0.9}); !g.r.room(write, a) {
+		t.Error("a write is kept from its primary")
+	}
+	for range 200 {
+		g.r.weigh(b, 0.1)
+	}
+	if !room() {
+		t.Error("spared, although all attempts fare well")
+	}
+}
--- a/balance/news.go
+++ b/balance/news.go
@@ -14,6 +14,12 @@
 	r.news.Learn(gossip.Fact{Host: h.id, Position: position, Role: gossip.Role(role)})
 }
 
+// weigh takes how much of its aim an attempt of ours took, or will take at the least.
+func (r *Router) weigh(h *host, share float64) {
+	r.news.Sample(h.id, share, false)
+	r.judge(h, share)
+}
+
 // askAround asks hosts of which the fleet is to hear, on behalf of all.
 func (r *Router) askAround() {
 	for _, id := range r.news.Ask(r.now) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -132,6 +132,7 @@
 	due     []*book
 	next    int64 // when reports may go out again
 	newest  int64 // sending of the newest message that was heard
+	busy    float64
 
 	dropped, complained int // messages that could not be read, and how many of these Complaint has told
 	complainedAt        int64
@@ -206,8 +207,18 @@
 	}
 }
 
+// busyWeight is what a new answer counts in Busy: some thirty decide, a second or two of a gateway among hundreds.
+const busyWeight = 0.03
+
+// Busy is how much of their aim this gateway's own attempts took of late, at all hosts together, 1 at the most. Of
+// hundreds of gateways each meets a host once in some seconds, and where others can't be heard knows few hosts well.
+func (s *State) Busy() float64 { return s.busy }
+
 // Sample takes how much of its aim an answer of a host took, or that it was an error.
 func (s *State) Sample(host string, share float64, failed bool) {
+	if !failed {
+		s.busy += busyWeight * (min(share, 1) - s.busy)
+	}
 	if b := s.hosts[host]; b != nil {
 		b.samples.add(share, failed)
 		s.mark(b)
