Keep reads back by attempts that failed in their aim, not by how long answers take

The share of their aim that answers take at rest differs by deployment; where it is over three tenths, reads were kept from idle hosts. Change: the part of all own attempts that were turned away or took all of their aim is counted (gossip.Busy), as adaptive throttling does.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -210,14 +210,15 @@
 // busyWeight is what a new answer counts in Busy: some thirty decide, a second or two of a gateway among hundreds.
 const busyWeight = 0.03
 
-// Busy is how much of their aim this gateway's own attempts took of late, at all hosts together, 1 at the most. Of
-// hundreds of gateways each meets a host once in some seconds, and where others can't be heard knows few hosts well.
+// Busy is the part of this gateway's own attempts, at all hosts together, that took all of their aim of late, or were turned
+// away. Of hundreds of gateways each meets a host once in some seconds, and where others can't be heard knows few hosts
+// well. How much of its aim an answer in time takes is not counted: at rest that differs from deployment to deployment.
 func (s *State) Busy() float64 { return s.busy }
 
 // Sample takes how much of its aim an answer of a host took, or that it was an error.
 func (s *State) Sample(host string, share float64, failed bool) {
-	if !failed {
-		s.busy += busyWeight * (min(share, 1) - s.busy)
+	if s.busy -= busyWeight * s.busy; share >= 1 {
+		s.busy += busyWeight
 	}
 	if b := s.hosts[host]; b != nil {
 		b.samples.add(share, failed)
