--- a/internal/app/process_test.go
+++ b/internal/app/process_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -148,6 +150,38 @@
 	}
 }
 
+// A configuration with a fault ends the program at its start, with the faulty key named and a code that is not 0.
+func TestBadConfigurationEndsTheStart(t *testing.T) {
+	r, bin := play(t, 0), program(t)
+	good := string(r.file(r.disc.Addr()))
+	for _, c := range []struct{ old, new, key string }{
+		{`"listen":"127.0.0.1:0"`, `"lisen":"127.0.0.1:0"`, "listen: missing"},
+		{`"tickMs":5`, `"tickMs":"soon"`, "settings.tickMs"},
+		{`"aimMs":30000,"deadlineMs":60000,"repeat":"non_idempotent"`, `"aimMs":30000,"deadlineMs":-1,"repeat":"non_idempotent"`, "settings.classes[2].deadlineMs"},
+		{`["recent","own_writes","update"]`, `["recent","own_writes","update","update"]`, "settings.extra.classRead"},
+		{`"lifecycle":"SERVING"`, `"lifecycle":"AWAY"`, "known: list of hosts: instances[0].lifecycle"},
+		{`"settings":{`, `"settings":`, "EDGE_CONFIG"},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		if text == good {
+			t.Fatalf("no %s in the file", c.old)
+		}
+		file := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		cmd := exec.CommandContext(ctx, bin)
+		cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file)
+		b, err := cmd.CombinedOutput()
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) || exit.ExitCode() != ExitFailed || !strings.Contains(string(b), c.key) {
+			t.Errorf("%s: %v, %s", c.new, err, b)
+		}
+		cancel()
+	}
+}
+
 // peak is the most memory that a process has held, in MB.
 func peak(t *testing.T, pid int) int {
 	t.Helper()
--- a/internal/app/serve_test.go
+++ b/internal/app/serve_test.go
@@ -658,6 +658,37 @@
 	cl.want("value v")
 }
 
+// A host whose connections come up long after they were given up, again and again, is dialled ever less often; no attempt
+// stays behind a dial that was given up, and once the host welcomes in time it is found.
+func TestLateDials(t *testing.T) {
+	const given = 1500 // ms
+	r := play(t, 0)
+	r.hosts[0].hold = make(chan struct{})
+	r.start(func(c *config.Config) { c.Settings.DialTimeout = 50e3 })
+	var clients []*app
+	for id := range 8 {
+		cl := r.connect()
+		cl.query(fmt.Sprintf(writeText, id, given))
+		clients = append(clients, cl)
+	}
+	for _, cl := range clients {
+		if got := cl.answer(); !strings.HasPrefix(got, "error 53300") {
+			t.Errorf("answered %q", got)
+		}
+	}
+	var begun int
+	r.do(func() { begun, _ = r.s.pool.Dials() })
+	t.Logf("%d dials in %d ms", begun, given)
+	if most := 8 + 2*given/100; begun > most { // each attempt's, and probes at the pace of the search
+		t.Errorf("%d dials, want %d at most", begun, most)
+	}
+	close(r.hosts[0].hold)
+	cl := r.connect()
+	cl.query(text(writeText, 100))
+	r.hosts[0].query().answer("v")
+	cl.want("value v")
+}
+
 // Hosts that the list has dropped are forgotten with their connections.
 func TestGoneHostsAreForgotten(t *testing.T) {
 	r := start(t, 1)
