Answer every request before the earliest kill in a planned restart

Cause: such a connection is never without work, its commands were begun with their own deadlines, and the program gave up 0.1 s after the earliest kill; a deadline of over 3 s was counted in full. Change: the router is told at the signal by when all answers are due (0.2 s before the kill). It rejects unsent what has less than its latency objective left, limits attempts to that time and ends what is in flight; half messages are told 53300; the process ends 0.05 s before the kill.

--- a/balance/api.go
+++ b/balance/api.go
@@ -163,6 +163,7 @@
 	TimerEvent                               // the time of a TimerAction has come
 	HealthCheckEvent                         // Host, Result, Latency, Report
 	GossipEvent                              // Peer, Data: a message of another gateway
+	ShutdownEvent                            // Deadline: the program ends, answer everything by then
 )
 
 // Event is one input of the router. Kind determines which of the other fields are used.
@@ -179,7 +180,7 @@
 	Key             int64 // of the session
 	HasKey          bool
 	SessionWriteAge int64 // age of the session's last write; 0: none; negative if it is ahead of the clock
-	Deadline        int64 // time at which the client gives up
+	Deadline        int64 // time at which the client gives up, or of a shutdown
 	WorkHint        int64 // expected work, µs; 0 if unknown
 
 	Attempt  int // number of the attempt among those of its request, from 0
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -121,7 +121,7 @@
 	host.inFlight = append(host.inFlight, req)
 	r.gossip.SetInFlight(host.id, len(host.inFlight))
 	r.spendSlowStart(host, req)
-	r.emit(Action{Kind: SendAction, Request: req.id, Host: host.id})
+	r.emit(Action{Kind: SendAction, Request: req.id, Host: host.id, Timeout: r.shutdownTimeout()})
 }
 
 // expireQueue gives up the queued requests of a group that can no longer succeed, and moves late ones to the
@@ -150,5 +150,6 @@
 // expired reports whether a request that is not in flight can no longer succeed: its deadline passes before
 // the next maintenance run, or a repeat of it might no longer be deduplicated.
 func (r *Router) expired(req *pendingRequest) bool {
-	return r.now+2*r.maintenanceInterval() >= req.deadline || r.deduplicationLapsed(req, r.now)
+	timeIsUp := r.now+2*r.maintenanceInterval() >= min(req.deadline, r.answersDueAt)
+	return timeIsUp || r.deduplicationLapsed(req, r.now) || r.cutShortByShutdown(req)
 }
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -50,7 +50,7 @@
 	if req == nil || req.finished || req.host == nil || req.host.excluded {
 		return false
 	}
-	if now >= req.deadline || r.deduplicationLapsed(req, now) {
+	if now >= min(req.deadline, r.answersDueAt) || r.deduplicationLapsed(req, now) {
 		return false
 	}
 	if req.class.Consistency != BoundedStaleness || r.settings.HostsCheckStaleness || req.host.wasPrimary {
--- a/balance/router.go
+++ b/balance/router.go
@@ -39,6 +39,9 @@
 	sessions     sessionCommits
 	traffic      trafficStats
 
+	answersDueAt     int64 // by when the shutdown wants all final answers; noShutdown before it begins
+	shutdownDuration int64 // µs from the begin of the shutdown to answersDueAt
+
 	retryBudget         requestBudget // retries of what may have been executed
 	checkBudget         requestBudget // health checks that no decision waits for (optionalCheck)
 	healthCheckRTT      movingAverage // µs
@@ -86,6 +89,7 @@
 	return &Router{
 		settings:            settings,
 		rand:                random.Source(seed),
+		answersDueAt:        noShutdown,
 		hosts:               map[string]*hostState{},
 		requests:            map[int64]*pendingRequest{},
 		sessions:            newSessionCommits(),
@@ -123,6 +127,8 @@
 		r.handleHealthCheck(&event)
 	case GossipEvent:
 		r.handleGossip(event.Peer, event.Data)
+	case ShutdownEvent:
+		r.beginShutdown(event.Deadline)
 	}
 	r.sendGossip()
 	return r.actions
@@ -158,6 +164,7 @@
 		r.expireQueue(group)
 		r.dispatch(group)
 	}
+	r.endAttemptsForShutdown()
 }
 
 func (r *Router) scheduleMaintenance() {
--- /dev/null
+++ b/balance/shutdown.go
@@ -0,0 +1,67 @@
+package balance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// noShutdown is Router.answersDueAt while no shutdown has begun.
+const noShutdown = math.MaxInt64
+
+// beginShutdown limits the time of all requests, waiting, in flight and to come.
+func (r *Router) beginShutdown(answersDueAt int64) {
+	r.answersDueAt = answersDueAt
+	r.shutdownDuration = answersDueAt - r.now
+}
+
+// cutShortByShutdown reports whether a request that was not sent yet has too little time left before the
+// shutdown ends it, although its client would wait longer. Sent now, it might fail with an unknown outcome;
+// rejected, it can be tried again at another gateway. Enough is the latency objective of its class, or half
+// of the shutdown for classes that take longer.
+func (r *Router) cutShortByShutdown(req *pendingRequest) bool {
+	if req.mayHaveExecuted() || req.deadline <= r.answersDueAt {
+		return false
+	}
+	enough := min(req.class.LatencyObjective, r.shutdownDuration/2)
+	return r.now+enough > r.answersDueAt
+}
+
+// shutdownTimeout returns the time in µs that an attempt has until the shutdown ends it; 0 without one, for
+// no limit but the deadline of its request.
+func (r *Router) shutdownTimeout() int64 {
+	if r.answersDueAt == noShutdown {
+		return 0
+	}
+	return max(r.answersDueAt-r.now, 1)
+}
+
+// endAttemptsForShutdown gives up the requests that are still in flight in the last maintenance run before
+// the shutdown wants their answers.
+func (r *Router) endAttemptsForShutdown() {
+	if r.answersDueAt == noShutdown || r.now+r.maintenanceInterval() < r.answersDueAt {
+		return
+	}
+	var inFlight []*pendingRequest
+	for _, req := range r.requests {
+		if req.host != nil && !req.finished {
+			inFlight = append(inFlight, req)
+		}
+	}
+	slices.SortFunc(inFlight, func(a, b *pendingRequest) int { return cmp.Compare(a.id, b.id) })
+	for _, req := range inFlight {
+		r.abandonAttempt(req)
+	}
+}
+
+// abandonAttempt gives up a request in flight, which may have been executed.
+func (r *Router) abandonAttempt(req *pendingRequest) {
+	if r.settings.Cancellation {
+		r.emit(Action{Kind: CancelAction, Request: req.id, Attempt: req.attempt})
+	}
+	if !req.mayHaveExecuted() {
+		req.executedAt = req.sentAt
+		req.executedZone = req.host.zone
+	}
+	r.giveUp(req)
+}
--- a/internal/app/lifecycle.go
+++ b/internal/app/lifecycle.go
@@ -12,8 +12,14 @@
 	// drainDelay is how long connections and requests are still accepted after SIGTERM: the load balancer in front sends
 	// new connections for another 0.4 s, and clients use open ones for up to 0.7 s.
 	drainDelay = 700_000
-	// drainGrace is the time beyond the longest deadline after which the program ends with requests still in flight.
-	drainGrace = 100_000
+	// maxCountedDeadline limits the deadline of requests that the platform waits for after drainDelay before it kills the
+	// program.
+	maxCountedDeadline = 3_000_000
+	// answerMargin is the time before the earliest kill by which every request has its final answer. It must cover that the
+	// program gets its part of a core in slices, and the way of the answer to the client.
+	answerMargin = 200_000
+	// exitMargin is the time before the earliest kill at which the program ends, whoever is still connected.
+	exitMargin = 50_000
 )
 
 // handleSignals handles signals until c is closed: SIGHUP reloads the configuration, any other signal drains the gateway.
@@ -46,16 +52,20 @@
 }
 
 // drain begins the graceful shutdown: requests are accepted for drainDelay, those in flight are finished, and the loop
-// ends once no connection is left, or when the longest deadline has passed.
+// ends once no connection is left, or shortly before the platform may kill the program. Clients that send ahead keep their
+// connections busy beyond drainDelay, so every request is answered by a time before that kill.
 func (s *server) drain() {
 	if s.draining {
 		return
 	}
 	s.draining = true
 	s.log.Info().Int("in_flight", s.gateway.InFlight()).Int64("unsent_bytes", s.frontend.UnsentBytes()).Msg("app: draining")
-	stopAt := s.loop.Now() + s.drainDelay
-	s.loop.CallAt(stopAt, s.stopAccepting)
-	s.loop.CallAt(stopAt+s.conf.LongestDeadline+drainGrace, s.loop.Stop)
+	now := s.loop.Now()
+	killAt := now + drainDelay + min(s.conf.LongestDeadline, maxCountedDeadline)
+	s.gateway.Shutdown(killAt - answerMargin)
+	s.loop.CallAt(now+s.drainDelay, s.stopAccepting)
+	s.loop.CallAt(killAt-answerMargin, s.frontend.CloseRemaining)
+	s.loop.CallAt(killAt-exitMargin, s.loop.Stop)
 }
 
 // stopAccepting ends the drain delay. Connections that the kernel has already accepted are still served.
--- a/internal/app/shutdown_test.go
+++ b/internal/app/shutdown_test.go
@@ -166,3 +166,32 @@
 		})
 	}
 }
+
+// A client that sends ahead keeps its connection busy until the kill: each of its requests is answered before that. In
+// front of it is a write that hangs at its host; the one behind it was read after the drain delay, and is never forwarded.
+func TestPipelinedRequestsAreAnsweredBeforeTheKill(t *testing.T) {
+	const longestDeadline = 400 * time.Millisecond
+	gw := startGateway(t, 0, func(c *config.Config) { c.LongestDeadline = longestDeadline.Microseconds() })
+	client := gw.connect()
+	idle := gw.connect()
+	client.query(queryText(writeForm, 1))
+	gw.hosts[0].nextQuery()
+	var signaled time.Time
+	gw.onLoop(func() {
+		signaled = time.Now()
+		gw.server.drain()
+	})
+	idle.want("closed") // the drain delay is over
+	client.query(queryText(writeForm, 2))
+	client.write(pgwire.AppendQuery(nil, queryText(writeForm, 3))[:20])
+	client.want("error " + pgwire.CodeSystemError)
+	client.want("error 53300 after 1000")
+	client.want("error 53300 closed")
+	if taken := time.Since(signaled); taken > longestDeadline+700*time.Millisecond {
+		t.Errorf("the last answer came %v after the signal", taken)
+	}
+	gw.wantEnded()
+	if n := len(gw.hosts[0].queries); n > 0 {
+		t.Errorf("%d requests were forwarded although no time was left for them", n)
+	}
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -8,6 +8,7 @@
 
 	"cloverrock/internal/eventloop"
 	"cloverrock/internal/gateway"
+	"cloverrock/internal/pgwire"
 )
 
 // OverflowConnections is how many connections above the limit are accepted, to receive an error or while they linger.
@@ -121,6 +122,20 @@
 	s.finishShutdown()
 }
 
+// CloseRemaining ends what Shutdown has left open: clients that are in the middle of a message are told that it is not
+// taken. It goes on until the last client is gone. A client whose next bytes have arrived is heard first.
+func (s *Server) CloseRemaining() {
+	for c := range s.clients {
+		isReceiving := len(c.partial) > 0 && !c.awaitingAnswer && len(c.pipeline) == 0
+		if isReceiving && c.conn.InputDrained() {
+			c.failConnection(pgwire.CodeTooManyConnections, "shutting down; trying again is harmless")
+		}
+	}
+	if len(s.clients) > 0 {
+		s.loop.CallAt(s.loop.Now()+retryInterval, s.CloseRemaining)
+	}
+}
+
 func (s *Server) finishShutdown() {
 	if s.shuttingDown && len(s.clients) == 0 && s.onShutdown != nil {
 		s.onShutdown()
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -103,6 +103,12 @@
 	g.handle(balance.Event{Kind: balance.GossipEvent, Peer: peer, Data: data})
 }
 
+// Shutdown has every request answered by a time, in microseconds on the loop's clock, those that are accepted from now on
+// included.
+func (g *Gateway) Shutdown(answersDueAt int64) {
+	g.handle(balance.Event{Kind: balance.ShutdownEvent, Deadline: answersDueAt})
+}
+
 // handle passes events to the router one at a time: an event that is caused by an action waits until all actions of
 // the event before it are done.
 func (g *Gateway) handle(event balance.Event) {
