Write the log beside the event loop, so that its reader can't stop or end the gateway

Callers saw: with a log that nobody reads no more answers, and no end at SIGTERM; with a reader that went away, the end of the process by SIGPIPE. Cause: the event loop wrote to standard error itself; the runtime ends a program at a broken pipe there. Both programs and the store's serve use it. The process now ends 0.1 s before the kill, for that wait.

--- a/balance/shutdown_test.go
+++ b/balance/shutdown_test.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// A request that the shutdown leaves too little time is rejected at once and not sent: the kill would lose it,
+// A request that the shutdown leaves too little time is rejected at once, unsent: the kill would lose it,
 // or its outcome would be unknown. One that has its time, or whose client waits no longer, is sent.
 func TestShutdownRejectsWhatItCutsShort(t *testing.T) {
 	rig := readyRig(t, testSettings())
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"io"
 	"runtime/debug"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
 	"cloverrock/balance"
+	"cloverrock/internal/asynclog"
 	"cloverrock/internal/config"
 	"cloverrock/internal/discovery"
 	"cloverrock/internal/gateway"
@@ -78,15 +80,21 @@
 	SetZoneShares(balance.ZoneShares)
 }
 
-// Logger returns a logger that writes lines of a level and above as JSON, with the gateway's name in each. An unknown
+// logFlushTimeout limits the wait for the reader of the log when the program ends.
+const logFlushTimeout = 50 * time.Millisecond
+
+// Logger returns a logger that writes lines of a level and above as JSON, with the gateway's name in each. Whoever logs does
+// not wait for the reader of the log. flush must be called after the last line; it takes at most logFlushTimeout. An unknown
 // level is a UsageError.
-func Logger(out io.Writer, level, name string) (zerolog.Logger, error) {
+func Logger(out io.Writer, level, name string) (log zerolog.Logger, flush func(), err error) {
 	minLevel, err := zerolog.ParseLevel(level)
 	if err != nil {
-		return zerolog.Logger{}, Usage("--log: %w", err)
+		return zerolog.Logger{}, nil, Usage("--log: %w", err)
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	return zerolog.New(out).Level(minLevel).With().Timestamp().Str("gateway", name).Logger(), nil
+	writer := asynclog.New(out, name)
+	flush = func() { writer.Close(logFlushTimeout) }
+	return zerolog.New(writer).Level(minLevel).With().Timestamp().Str("gateway", name).Logger(), flush, nil
 }
 
 // Version returns the module's version as the build has recorded it.
--- a/internal/app/harness_test.go
+++ b/internal/app/harness_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -28,6 +29,7 @@
 	address           string
 	timeouts          timeouts // those of clients are never reached, unless a test is about them
 	log               zerolog.Logger
+	processLog        *os.File // takes the log of a process; nil: a buffer does
 	ended             chan struct{}
 	discoveryListener net.Listener
 	discoveryCalls    chan *discoveryCall
--- a/internal/app/lifecycle.go
+++ b/internal/app/lifecycle.go
@@ -19,7 +19,7 @@
 	// program gets its part of a core in slices, and the way of the answer to the client.
 	answerMargin = 200_000
 	// exitMargin is the time before the earliest kill at which the program ends, whoever is still connected.
-	exitMargin = 50_000
+	exitMargin = 100_000
 )
 
 // handleSignals handles signals until c is closed: SIGHUP reloads the configuration, any other signal drains the gateway.
--- a/internal/app/process_test.go
+++ b/internal/app/process_test.go
@@ -79,6 +79,9 @@
 	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file)
 	log := &logBuffer{}
 	cmd.Stderr = log
+	if gw.processLog != nil {
+		cmd.Stderr = gw.processLog
+	}
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -19,10 +19,11 @@
 	if err != nil {
 		return err
 	}
-	log, err := Logger(cmd.ErrOrStderr(), c.logLevel, conf.Name)
+	log, flush, err := Logger(cmd.ErrOrStderr(), c.logLevel, conf.Name)
 	if err != nil {
 		return err
 	}
+	defer flush()
 	signals := make(chan os.Signal, signalQueue)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
--- a/internal/storecmd/serve.go
+++ b/internal/storecmd/serve.go
@@ -43,10 +43,11 @@
 	if err != nil {
 		return err
 	}
-	log, err := app.Logger(cmd.ErrOrStderr(), f.logLevel, set.Name)
+	log, flush, err := app.Logger(cmd.ErrOrStderr(), f.logLevel, set.Name)
 	if err != nil {
 		return err
 	}
+	defer flush()
 	conf, err := set.NodeConfig()
 	if err != nil {
 		return err
