Take SIGTERM while a reload waits for its file

Callers would see: a gateway that is told to end and doesn't, and is killed with its requests. Cause: one goroutine handled all signals in order and read the configuration file itself; behind eight queued signals a further one was dropped. Change: SIGHUP and SIGTERM have a channel of one and a goroutine each. The tests of processes wait for the end on one goroutine (two waits hung where such a test failed).

--- a/internal/app/harness_test.go
+++ b/internal/app/harness_test.go
@@ -29,6 +29,9 @@
 	address           string
 	timeouts          timeouts // those of clients are never reached, unless a test is about them
 	log               zerolog.Logger
+	configPath        string // of a process
+	processEnded      chan struct{}
+	processError      error    // how the process ended, once it has
 	processLog        *os.File // takes the log of a process; nil: a buffer does
 	ended             chan struct{}
 	discoveryListener net.Listener
--- a/internal/app/lifecycle.go
+++ b/internal/app/lifecycle.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"os/signal"
 	"syscall"
 
 	"cloverrock/internal/config"
@@ -22,14 +23,37 @@
 	exitMargin = 100_000
 )
 
-// handleSignals handles signals until c is closed: SIGHUP reloads the configuration, any other signal drains the gateway.
-// It blocks. readConfig runs on the calling goroutine, so that no request waits for the file.
-func (s *server) handleSignals(c <-chan os.Signal, readConfig func() (*config.Config, error)) {
-	for sig := range c {
-		if sig != syscall.SIGHUP {
-			s.loop.Post(s.drain)
-			continue
-		}
+// signals receives the process's signals. Each channel holds one: those that come meanwhile ask for the same again. They are
+// apart, since a reload may wait for the disk while the gateway is told to end.
+type signals struct {
+	terminate chan os.Signal // SIGTERM and SIGINT
+	reload    chan os.Signal // SIGHUP
+}
+
+// notifySignals begins to receive signals, until stop.
+func notifySignals() signals {
+	s := signals{terminate: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.terminate, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
+func (s signals) stop() {
+	signal.Stop(s.terminate)
+	signal.Stop(s.reload)
+}
+
+// drainAt drains the gateway at each signal of a channel. It blocks until the channel is closed.
+func (s *server) drainAt(terminate <-chan os.Signal) {
+	for range terminate {
+		s.loop.Post(s.drain)
+	}
+}
+
+// reloadAt reloads the configuration at each signal of a channel. It blocks until the channel is closed. readConfig runs on
+// the calling goroutine, so that no request waits for the file.
+func (s *server) reloadAt(reload <-chan os.Signal, readConfig func() (*config.Config, error)) {
+	for range reload {
 		conf, err := readConfig()
 		s.loop.Post(func() { s.reload(conf, err) })
 	}
--- a/internal/app/log_test.go
+++ b/internal/app/log_test.go
@@ -5,7 +5,6 @@
 	"os"
 	"syscall"
 	"testing"
-	"time"
 )
 
 // openFullPipe returns the ends of a pipe whose buffer is full.
@@ -38,28 +37,15 @@
 	t.Helper()
 	gw := newHarness(t, 0)
 	gw.processLog = log
-	cmd, _ := gw.startProcess(1024, true)
+	cmd, buffer := gw.startProcess(1024, true)
 	gw.nextCall()
 	gw.waitUntilReady()
 	client := gw.connect()
 	gw.exchange(client, 1, "v")
-	for _, s := range []os.Signal{syscall.SIGHUP, syscall.SIGTERM} {
-		if err := cmd.Process.Signal(s); err != nil {
-			t.Fatal(err)
-		}
-	}
+	sendSignals(t, cmd, syscall.SIGHUP, syscall.SIGTERM)
 	gw.exchange(client, 2, "w")
 	client.want("closed")
-	ended := make(chan error, 1)
-	go func() { ended <- cmd.Wait() }()
-	select {
-	case err := <-ended:
-		if err != nil {
-			t.Error(err)
-		}
-	case <-time.After(testTimeout):
-		t.Error("does not end")
-	}
+	gw.wantProcessEnded(buffer)
 }
 
 // A log that nobody reads stalls neither requests nor the shutdown.
--- a/internal/app/process_test.go
+++ b/internal/app/process_test.go
@@ -65,18 +65,18 @@
 	t := gw.t
 	t.Helper()
 	gw.address = reserveAddress(t)
-	file := filepath.Join(t.TempDir(), "config.json")
+	gw.configPath = filepath.Join(t.TempDir(), "config.json")
 	conf := string(gw.configFile(gw.discoveryListener.Addr()))
 	limits := fmt.Sprintf(`{"listen":%q,"limits":{"memory_mb":%d,"sockets":%d}`, gw.address, processMemoryMB, sockets)
 	conf = strings.Replace(conf, `{"listen":"127.0.0.1:0"`, limits, 1)
 	if !known {
 		conf = strings.Replace(conf, `"known"`, `"unknown"`, 1)
 	}
-	if err := os.WriteFile(file, []byte(conf), 0o644); err != nil {
+	if err := os.WriteFile(gw.configPath, []byte(conf), 0o644); err != nil {
 		t.Fatal(err)
 	}
 	cmd := exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", sockets, buildProgram(t)))
-	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file)
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+gw.configPath)
 	log := &logBuffer{}
 	cmd.Stderr = log
 	if gw.processLog != nil {
@@ -85,13 +85,42 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { // it may have ended already
-		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
+	ended := make(chan struct{})
+	gw.processEnded = ended
+	go func() {
+		defer close(ended)
+		gw.processError = cmd.Wait()
+	}()
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill() // it may have ended already
+		<-ended
 	})
 	return cmd, log
 }
 
+// sendSignals sends signals to a process.
+func sendSignals(t *testing.T, cmd *exec.Cmd, signals ...os.Signal) {
+	t.Helper()
+	for _, s := range signals {
+		if err := cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// wantProcessEnded waits until the process has ended in order.
+func (gw *harness) wantProcessEnded(log *logBuffer) {
+	gw.t.Helper()
+	select {
+	case <-gw.processEnded:
+		if gw.processError != nil {
+			gw.t.Errorf("%v:\n%s", gw.processError, log)
+		}
+	case <-time.After(testTimeout):
+		gw.t.Fatalf("does not end:\n%s", log)
+	}
+}
+
 // waitUntilReady waits until the gateway has an endpoint list.
 func (gw *harness) waitUntilReady() {
 	gw.t.Helper()
@@ -108,25 +137,41 @@
 	cmd, log := gw.startProcess(1024, false)
 	gw.nextCall()
 	client := gw.connect()
-	for _, s := range []os.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
-		if err := cmd.Process.Signal(s); err != nil {
-			t.Fatal(err)
-		}
-	}
+	sendSignals(t, cmd, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP)
 	client.query("")
 	client.want("error 57P03")
 	client.query(queryText(writeForm, 1))
 	client.want("error 53300 after 1000")
 	client.want("closed")
 	client.close()
-	if err := cmd.Wait(); err != nil {
-		t.Errorf("%v:\n%s", err, log)
-	}
+	gw.wantProcessEnded(log)
 	if n := strings.Count(log.String(), "app: draining"); n != 1 {
 		t.Errorf("%d lines say that it drains:\n%s", n, log)
 	}
 }
 
+// A reload that waits for its file, on a disk that stalls, does not hold up a SIGTERM.
+func TestStalledReloadDoesNotDelayTheShutdown(t *testing.T) {
+	gw := newHarness(t, 0)
+	cmd, log := gw.startProcess(1024, true)
+	gw.nextCall()
+	gw.waitUntilReady()
+	if err := os.Remove(gw.configPath); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(gw.configPath, 0o600); err != nil { // to read it waits for a writer
+		t.Fatal(err)
+	}
+	sendSignals(t, cmd, syscall.SIGHUP)
+	file, err := os.OpenFile(gw.configPath, os.O_WRONLY, 0) // waits until the process has it open
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = file.Close() })
+	sendSignals(t, cmd, syscall.SIGTERM)
+	gw.wantProcessEnded(log)
+}
+
 // A process that may have 128 descriptors open, with a silent discovery and many more clients than that, which send nothing or
 // stop in their startup, still calls discovery, dials hosts, and serves the clients that send requests.
 func TestIdleClientsLeaveDescriptorsForHostsAndDiscovery(t *testing.T) {
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -1,18 +1,11 @@
 package app
 
 import (
-	"os"
-	"os/signal"
-	"syscall"
-
 	"github.com/spf13/cobra"
 
 	"cloverrock/internal/config"
 )
 
-// signalQueue is the number of unhandled signals that are queued: a SIGTERM after several SIGHUPs must not be dropped.
-const signalQueue = 8
-
 // serve runs the gateway until it has drained, with a component if a settings file is named.
 func (c *commandLine) serve(cmd *cobra.Command, _ []string) error {
 	conf, err := config.Load(c.getenv)
@@ -24,9 +17,8 @@
 		return err
 	}
 	defer flush()
-	signals := make(chan os.Signal, signalQueue)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	signals := notifySignals()
+	defer signals.stop()
 
 	var component Component
 	if c.settingsPath != "" {
@@ -48,7 +40,8 @@
 		component.Attach(s)
 		readConfig = component.ReloadConfig
 	}
-	go s.handleSignals(signals, readConfig)
+	go s.drainAt(signals.terminate)
+	go s.reloadAt(signals.reload, readConfig)
 	log.Info().Str("version", Version()).Str("listen", s.loop.Address()).Msg("app: serving")
 	s.loop.Run()
 	log.Info().Msg("app: ended")
--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -50,8 +50,8 @@
 	firstListTimeout = 500_000
 )
 
-// server is a gateway with all its parts. Its methods must be called on the loop's goroutine, except handleSignals and
-// those that implement Gateway, which may be called from any.
+// server is a gateway with all its parts. Its methods must be called on the loop's goroutine, except drainAt,
+// reloadAt and those that implement Gateway, which may be called from any.
 type server struct {
 	conf       *config.Config
 	log        zerolog.Logger
