Receive signals until the process is gone, so that a late SIGHUP does not end it

Cause: serve gave up its handling of signals before it flushed the log and exited. Change: signals are received from the begin of serve to the end of the process.

--- a/internal/app/commands.go
+++ b/internal/app/commands.go
@@ -68,7 +68,7 @@
 }
 
 func (c *commandLine) addServeFlags(cmd *cobra.Command) {
-	cmd.Flags().StringVar(&c.logLevel, "log", "info", "minimum level of log lines: debug, info, warn or error")
+	cmd.Flags().StringVar(&c.logLevel, "log", "info", "minimum level of log lines: trace, debug, info, warn or error")
 	c.addSettingsFlag(cmd, "operators' file that turns on further parts (CLOVERROCK_SETTINGS)")
 }
 
--- a/internal/app/lifecycle.go
+++ b/internal/app/lifecycle.go
@@ -30,7 +30,8 @@
 	reload    chan os.Signal // SIGHUP
 }
 
-// notifySignals begins to receive signals, until stop.
+// notifySignals begins to receive signals. It goes on until the process has ended: a SIGHUP that comes meanwhile must not be
+// what ends it.
 func notifySignals() signals {
 	s := signals{terminate: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
 	signal.Notify(s.terminate, syscall.SIGTERM, syscall.SIGINT)
@@ -38,11 +39,6 @@
 	return s
 }
 
-func (s signals) stop() {
-	signal.Stop(s.terminate)
-	signal.Stop(s.reload)
-}
-
 // drainAt drains the gateway at each signal of a channel. It blocks until the channel is closed.
 func (s *server) drainAt(terminate <-chan os.Signal) {
 	for range terminate {
--- a/internal/app/process_test.go
+++ b/internal/app/process_test.go
@@ -150,6 +150,24 @@
 	}
 }
 
+// SIGHUP never ends the process, also while it is ending in order: that would count as a crash.
+func TestReloadSignalsWhileEndingDoNotKill(t *testing.T) {
+	gw := newHarness(t, 0)
+	cmd, log := gw.startProcess(1024, true)
+	gw.nextCall()
+	gw.waitUntilReady()
+	sendSignals(t, cmd, syscall.SIGTERM)
+	for ended := false; !ended; {
+		select {
+		case <-gw.processEnded:
+			ended = true
+		default:
+			_ = cmd.Process.Signal(syscall.SIGHUP) // it may have ended meanwhile
+		}
+	}
+	gw.wantProcessEnded(log)
+}
+
 // A reload that waits for its file, on a disk that stalls, does not hold up a SIGTERM.
 func TestStalledReloadDoesNotDelayTheShutdown(t *testing.T) {
 	gw := newHarness(t, 0)
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -8,6 +8,7 @@
 
 // serve runs the gateway until it has drained, with a component if a settings file is named.
 func (c *commandLine) serve(cmd *cobra.Command, _ []string) error {
+	signals := notifySignals()
 	conf, err := config.Load(c.getenv)
 	if err != nil {
 		return err
@@ -17,9 +18,6 @@
 		return err
 	}
 	defer flush()
-	signals := notifySignals()
-	defer signals.stop()
-
 	var component Component
 	if c.settingsPath != "" {
 		component, err = c.ext.Open(c.settingsPath, c.getenv, log)
