Add a soak of planned restarts, and log the way of each request at trace level

Need: requests were lost in restarts where no test looked, and no log tells what became of a request. Change: cloverrock-lab soak and internal/lab/restartsoak: one real gateway, 24 clients that use their connections until these end (one in four sends ahead), signals in series, hosts that hang, die or lose their primary, a list that changes, a crowd, a log that nobody reads, deadlines of 0.8 to 5 s, the kill at its earliest.

--- a/cmd/cloverrock-lab/main.go
+++ b/cmd/cloverrock-lab/main.go
@@ -46,7 +46,7 @@
 	}
 	root.AddCommand(
 		storeSimCommand(), storeChaosCommand(), storeCostCommand(), restartCommand(),
-		modelCommand(), processesCommand(), logStatsCommand(), linkedCommand(),
+		modelCommand(), processesCommand(), soakCommand(), logStatsCommand(), linkedCommand(),
 	)
 	return root
 }
--- a/internal/frontend/pipeline.go
+++ b/internal/frontend/pipeline.go
@@ -152,7 +152,8 @@
 	c.clientRequestID = query.ID
 	c.requestBytes = len(cmd.text)
 	id := c.server.gateway.Accept(gateway.Request{
-		Class: class.Index, Group: query.Cluster, Key: query.KeyID(), HasKey: query.HasKey, Write: class.Write,
+		ClientID: query.ID,
+		Class:    class.Index, Group: query.Cluster, Key: query.KeyID(), HasKey: query.HasKey, Write: class.Write,
 		MinPosition: query.After, Deadline: cmd.receivedAt + query.Wait, Body: query, Client: c,
 	})
 	if c.awaitingAnswer {
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -56,6 +56,7 @@
 		g.counts.Retries++
 	}
 	req.attemptInFlight = true
+	g.traceSent(&attempt)
 	g.hosts.Send(attempt)
 }
 
@@ -65,6 +66,7 @@
 		return
 	}
 	g.counts.Rejected++
+	g.traceEnd(action.Request, "gateway: request rejected")
 	req.Client.Reject(action.RetryAfter)
 	g.finish(action.Request, req)
 }
@@ -75,6 +77,7 @@
 		return
 	}
 	g.counts.Failed++
+	g.traceEnd(action.Request, "gateway: request failed")
 	req.Client.Fail()
 	g.finish(action.Request, req)
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -8,6 +8,7 @@
 	g.counts.Requests++
 	id := g.lastRequest
 	g.requests[id] = &pendingRequest{Request: request}
+	g.traceAccepted(id, &request)
 	g.handle(balance.Event{
 		Kind: balance.RequestEvent, Request: id, Class: request.Class, Group: request.Group,
 		Key: request.Key, HasKey: request.HasKey, Deadline: request.Deadline,
@@ -35,6 +36,7 @@
 	if req == nil || req.finished {
 		return
 	}
+	g.traceEnd(id, "gateway: client disconnected")
 	g.finish(id, req)
 	g.handle(balance.Event{Kind: balance.ClientDisconnectedEvent, Request: id})
 }
@@ -58,6 +60,7 @@
 	}
 	req.attemptInFlight = false
 	g.counts.Outcomes[outcome.Result]++
+	g.traceOutcome(&attempt, &outcome)
 	g.notifyObservers(attempt.Host, req.Class, outcome)
 	if outcome.Result == balance.Succeeded && !req.finished {
 		req.Client.Serve(outcome.Value)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -16,6 +16,7 @@
 
 // Request is a request as a frontend has read it. Times are in microseconds on the loop's clock.
 type Request struct {
+	ClientID    string // as the client names it; for the log
 	Class       int
 	Group       int64
 	Key         int64
--- a/internal/lab/emulator/host.go
+++ b/internal/lab/emulator/host.go
@@ -33,6 +33,8 @@
 	cores                 chan struct{}    // a token for each core in use; nil: no limit
 	present               atomic.Int32     // requests that wait for a core or have one
 	arrived               func(before int) // called at each request; see LimitCores
+	observe               Observer         // nil: none
+	hangPercent           int
 }
 
 // NewHost returns a replica that listens on a loopback address. Each request takes the time work, and a replica's log
@@ -55,6 +57,16 @@
 	h.arrived = arrived
 }
 
+// Observer is told of each request that arrives: its statement, and whether the host executes it as a write.
+type Observer func(statement string, executesWrite bool)
+
+// Observe has each request reported, and a percentage of them executed but never answered. It must be called before the
+// first connection.
+func (h *Host) Observe(observe Observer, hangPercent int) {
+	h.observe = observe
+	h.hangPercent = hangPercent
+}
+
 // work takes the time of one request.
 func (h *Host) work() {
 	if h.cores == nil {
--- a/internal/lab/emulator/protocol.go
+++ b/internal/lab/emulator/protocol.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
@@ -17,6 +18,8 @@
 const (
 	messageHead = 5       // type and length
 	maxMessage  = 1 << 20 // bytes
+
+	healthCheck = "SHOW vitals"
 )
 
 // errMessageSize is a message whose length cannot be right.
@@ -55,7 +58,7 @@
 		if err != nil || message.Type != 'Q' {
 			return
 		}
-		if h.hanging.Load() || silent.Load() {
+		if h.hanging.Load() || silent.Load() || h.hangsOnce(string(message.Body)) {
 			continue
 		}
 		if _, err := connection.Write(h.answerQuery(string(message.Body))); err != nil {
@@ -64,6 +67,17 @@
 	}
 }
 
+// hangsOnce reports the statement to the observer, and whether it gets no answer.
+func (h *Host) hangsOnce(text string) bool {
+	if h.observe == nil || strings.HasPrefix(text, healthCheck) {
+		return false
+	}
+	h.observe(text, isWrite(text) && h.primary.Load())
+	return rand.IntN(100) < h.hangPercent
+}
+
+func isWrite(text string) bool { return strings.Contains(text, "INSERT") }
+
 // skipStartup reads the startup message, which has no type.
 func skipStartup(reader *bufio.Reader) error {
 	head, err := reader.Peek(4)
@@ -84,11 +98,11 @@
 }
 
 func (h *Host) execute(text string) []byte {
-	if strings.HasPrefix(text, "SHOW vitals") {
+	if strings.HasPrefix(text, healthCheck) {
 		role, position := h.status()
 		return singleRow(fmt.Sprintf("x0=%d.%03d,x1=%d", position/1000, position%1000, role))
 	}
-	write := strings.Contains(text, "INSERT")
+	write := isWrite(text)
 	if write && !h.primary.Load() {
 		return pgwire.AppendError(nil, pgwire.ErrorResponse{
 			Severity: "ERROR", Code: pgwire.CodeReadOnly, Message: "not the primary",
--- /dev/null
+++ b/internal/lab/restartsoak/evaluate.go
@@ -0,0 +1,102 @@
+package restartsoak
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	answerSlack       = 500 * time.Millisecond // after its time, in which a request must get its answer
+	attemptAfterLeave = 100 * time.Millisecond // after its client left, in which an attempt may still begin
+	maxLogLines       = 40
+)
+
+var answerNames = [...]string{
+	unanswered: "unanswered", served: "served", rejected: "rejected", failed: "failed", crossed: "crossed a close",
+	notAccepted: "not accepted", clientLeft: "client left", stillWaiting: "client stopped waiting",
+}
+
+// evaluate checks all requests.
+func (r *run) evaluate() *Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	result := &Result{Plan: r.plan, Defect: r.defect, Requests: len(r.requests), Answers: map[string]int{}}
+	slices.SortFunc(r.requests, func(a, b *request) int { return cmp.Compare(a.id, b.id) })
+	for _, req := range r.requests {
+		result.Answers[answerNames[req.answer]]++
+		problem := r.problemOf(req)
+		if problem == "" {
+			continue
+		}
+		r.faults = append(r.faults, fmt.Sprintf("request %d of class %s to process %d, sent %s: %s",
+			req.id, req.class.name, req.generation, req.sentAt.Format("05.000"), problem))
+		if result.First == nil {
+			result.First = r.logOf(req.id)
+		}
+	}
+	result.Faults = r.faults
+	return result
+}
+
+// problemOf returns the rule that was broken for a request; empty: none.
+func (r *run) problemOf(req *request) string {
+	if n := r.executed[req.id]; n > 1 {
+		return fmt.Sprintf("executed %d times", n)
+	}
+	if req.answer == clientLeft {
+		for _, arrived := range r.arrivals[req.id] {
+			if late := arrived.Sub(req.leftAt); late > attemptAfterLeave {
+				return fmt.Sprintf("an attempt came to a host %v after its client had left", late)
+			}
+		}
+		return ""
+	}
+	switch {
+	case req.answer == unanswered, req.answer == stillWaiting:
+		return fmt.Sprintf("lost: no answer when its connection ended after %v", req.answeredAt.Sub(req.sentAt))
+	case req.answer == crossed && len(r.arrivals[req.id]) > 0:
+		return "lost: forwarded, but its connection was closed"
+	case req.answeredAt.After(req.dueAt.Add(answerSlack)):
+		return fmt.Sprintf("lost: answered (%s) %v after its time", answerNames[req.answer], req.answeredAt.Sub(req.dueAt))
+	}
+	return ""
+}
+
+// logOf returns the log lines that name a request, by the id of its client or the gateway's own.
+func (r *run) logOf(id int) []string {
+	var found []string
+	for _, p := range r.all {
+		if p.logFile == "" {
+			continue
+		}
+		file, err := os.Open(p.logFile)
+		if err != nil {
+			continue
+		}
+		found = append(found, linesOf(file, id)...)
+		_ = file.Close() // it was only read
+	}
+	return found[:min(len(found), maxLogLines)]
+}
+
+func linesOf(file *os.File, id int) []string {
+	var found []string
+	own := ""
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		line := lines.Text()
+		if strings.Contains(line, fmt.Sprintf(`"id":"%d"`, id)) {
+			_, rest, _ := strings.Cut(line, `"request":`)
+			number, _, _ := strings.Cut(rest, ",")
+			own = `"request":` + number + ","
+			found = append(found, line)
+		} else if own != "" && strings.Contains(line, own) || strings.Contains(line, `"message":"app: `) {
+			found = append(found, line)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/lab/restartsoak/play.go
@@ -0,0 +1,209 @@
+package restartsoak
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// play restarts the gateway under load, and ends it.
+func (r *run) play(ctx context.Context) error {
+	if r.plan.TerminatedStart > 0 {
+		if err := r.terminateStart(ctx); err != nil {
+			return err
+		}
+	}
+	first, err := r.startReady(ctx)
+	if err != nil {
+		return err
+	}
+	load, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	var clients sync.WaitGroup
+	r.startClients(load, &clients)
+	crowd := r.openCrowd()
+	sleep(ctx, loadBefore)
+	r.restart(ctx, first)
+	closeAll(crowd)
+	if r.defect == DefectNoList {
+		if err := r.withholdList(); err != nil {
+			return err
+		}
+	}
+	second, err := r.startReady(ctx)
+	if err != nil {
+		return err
+	}
+	sleep(ctx, loadAfter)
+	stopLoad()
+	clients.Wait()
+	r.checkDescriptors(ctx, second)
+	r.checkMemory(second)
+	r.setFront(false)
+	signaled := time.Now()
+	second.signal(PlannedEvent{What: signalTERM})
+	r.checkEnd(second, signaled)
+	return nil
+}
+
+// terminateStart starts a process that is told to end while it starts. It has taken nothing, so it may end in any way.
+func (r *run) terminateStart(ctx context.Context) error {
+	p, err := r.startProcess()
+	if err != nil {
+		return err
+	}
+	sleep(ctx, milliseconds(r.plan.TerminatedStart))
+	p.signal(PlannedEvent{What: signalTERM})
+	if !p.waitEnded(r.plan.killAfter()) {
+		r.fault("a process that got SIGTERM as it started did not end in %v", r.plan.killAfter())
+	}
+	return nil
+}
+
+// startReady starts a process, and opens the front once it is ready.
+func (r *run) startReady(ctx context.Context) (*process, error) {
+	p, err := r.startProcess()
+	if err != nil {
+		return nil, err
+	}
+	err = r.waitReady(ctx)
+	if errors.Is(err, errNotReady) {
+		r.fault("not ready within %v", readyLimit)
+		err = nil
+	}
+	r.setFront(true)
+	return p, err
+}
+
+func (r *run) startClients(ctx context.Context, clients *sync.WaitGroup) {
+	for i := range clientCount {
+		c := &client{run: r, random: rand.New(rand.NewPCG(r.plan.Seed, uint64(i))), ahead: 1}
+		if i%clientsAhead == 0 {
+			c.ahead = aheadMost
+		}
+		clients.Go(func() { c.play(ctx) })
+	}
+}
+
+// openCrowd opens the idle connections of the plan.
+func (r *run) openCrowd() []net.Conn { return r.openIdle(r.plan.Crowd) }
+
+func (r *run) openIdle(number int) []net.Conn {
+	var idle []net.Conn
+	for range number {
+		if conn, err := net.DialTimeout("tcp4", r.listen, dialTimeout); err == nil {
+			idle = append(idle, conn)
+		}
+	}
+	return idle
+}
+
+func closeAll(conns []net.Conn) {
+	for _, conn := range conns {
+		_ = conn.Close() // the gateway may have closed it
+	}
+}
+
+// restart sends the signals and makes the faults of the plan, and kills the process at the earliest moment.
+func (r *run) restart(ctx context.Context, p *process) {
+	signaled := time.Now().Add(loadBefore / 2)
+	at := func(ms int) { sleep(ctx, time.Until(signaled.Add(milliseconds(ms)))) }
+	var events sync.WaitGroup
+	for _, event := range r.plan.Faults {
+		events.Go(func() {
+			at(event.AtMS)
+			r.makeFault(event.What)
+		})
+	}
+	events.Go(func() {
+		for _, event := range r.plan.Signals {
+			at(event.AtMS)
+			p.signal(event)
+		}
+	})
+	events.Go(func() {
+		at(r.plan.FrontMS)
+		r.setFront(false)
+	})
+	at(0)
+	switch r.defect {
+	case DefectAbrupt:
+		_ = p.command.Process.Kill()
+	case DefectStopped:
+		at(1)
+		_ = p.command.Process.Signal(syscall.SIGSTOP)
+	}
+	r.checkEnd(p, signaled)
+	events.Wait()
+}
+
+// makeFault changes hosts or the endpoint list.
+func (r *run) makeFault(what string) {
+	switch what {
+	case faultHostDies:
+		r.hosts[hostCount-1].Close()
+	case faultHostHangs:
+		r.hosts[hostCount-1].SetHanging(true)
+	case faultPrimaryMoves:
+		r.hosts[0].SetPrimary(false)
+		r.hosts[1].SetPrimary(true)
+	case faultPrimaryLost:
+		r.hosts[0].SetPrimary(false)
+	case faultListChanges:
+		if list, err := r.endpointList(2, r.hosts[:hostCount-1]); err == nil {
+			r.discovery.Publish(list)
+		}
+	}
+}
+
+// withholdList has the next process start without an endpoint list, and discovery fall silent.
+func (r *run) withholdList() error {
+	r.discovery.Silence()
+	return r.writeConfiguration("null")
+}
+
+// checkEnd waits until a process has ended by the earliest kill, and kills it if it has not.
+func (r *run) checkEnd(p *process, signaled time.Time) {
+	if !p.waitEnded(time.Until(signaled.Add(r.plan.killAfter()))) {
+		r.fault("did not end within %v of SIGTERM", r.plan.killAfter())
+		_ = p.command.Process.Kill()
+		<-p.ended
+		return
+	}
+	if code := p.command.ProcessState.ExitCode(); code != 0 {
+		r.fault("ended by %v", p.command.ProcessState)
+	}
+}
+
+// checkDescriptors wants the descriptors of all clients to be free, once these are gone.
+func (r *run) checkDescriptors(ctx context.Context, p *process) {
+	if r.defect == DefectHeld {
+		defer closeAll(r.openIdle(heldConnections))
+	}
+	const ownDescriptors = 16 // standard streams, log, event loop, listener, discovery, timers
+	open := 0
+	for began := time.Now(); time.Since(began) < descriptorLimit; sleep(ctx, redialPause) {
+		open = p.descriptors()
+		for _, host := range r.hosts {
+			open -= host.Connections()
+		}
+		if open <= ownDescriptors {
+			return
+		}
+	}
+	r.fault("%d descriptors without clients and hosts; %d are the gateway's own", open, ownDescriptors)
+}
+
+func (r *run) checkMemory(p *process) {
+	limit := memoryMB
+	if r.defect == DefectMemory {
+		limit = 1
+	}
+	if used := p.peakMemoryMB(); used > limit {
+		r.fault("%d MB of memory, %d allowed", used, limit)
+	}
+}
--- /dev/null
+++ b/internal/lab/restartsoak/process.go
@@ -0,0 +1,167 @@
+package restartsoak
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"cloverrock/internal/lab/emulator"
+	"cloverrock/internal/pgwire"
+)
+
+// process is one process of the gateway.
+type process struct {
+	command *exec.Cmd
+	logFile string        // empty: its log is a pipe that nobody reads
+	stalled [2]*os.File   // the ends of that pipe
+	ended   chan struct{} // closed when the process has ended
+	endedAt time.Time     // once it has
+}
+
+var errNotReady = errors.New("the gateway is not ready in time")
+
+// startProcess starts the gateway.
+func (r *run) startProcess() (*process, error) {
+	r.processes++
+	p := &process{ended: make(chan struct{})}
+	p.command = exec.Command(r.program, "serve", "--log", "trace")
+	p.command.Env = append(os.Environ(), "EDGE_CONFIG="+r.configFile)
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no process outlives the run
+	if err := p.openLog(r.directory, r.processes, r.plan.StalledLog); err != nil {
+		return nil, err
+	}
+	err := p.command.Start()
+	if p.logFile != "" {
+		_ = p.command.Stderr.(*os.File).Close() // the process has a descriptor of its own
+	}
+	if err != nil {
+		return nil, fmt.Errorf("start the gateway: %w", err)
+	}
+	go func() {
+		_ = p.command.Wait() // its state tells how it ended
+		p.endedAt = time.Now()
+		close(p.ended)
+	}()
+	r.all = append(r.all, p)
+	return p, nil
+}
+
+func (p *process) openLog(directory string, number int, stalled bool) error {
+	if stalled {
+		return p.openStalledLog()
+	}
+	p.logFile = filepath.Join(directory, fmt.Sprintf("%d.log", number))
+	file, err := os.Create(p.logFile)
+	p.command.Stderr = file
+	return err
+}
+
+// openStalledLog makes the log a pipe that is full and that nobody reads.
+func (p *process) openStalledLog() error {
+	var ends [2]int
+	if err := syscall.Pipe2(ends[:], syscall.O_CLOEXEC|syscall.O_NONBLOCK); err != nil {
+		return err
+	}
+	var err error
+	for page := make([]byte, os.Getpagesize()); err == nil; {
+		_, err = syscall.Write(ends[1], page)
+	}
+	if !errors.Is(err, syscall.EAGAIN) {
+		return err
+	}
+	if err := syscall.SetNonblock(ends[1], false); err != nil {
+		return err
+	}
+	p.stalled = [2]*os.File{os.NewFile(uintptr(ends[0]), "log"), os.NewFile(uintptr(ends[1]), "log")}
+	p.command.Stderr = p.stalled[1]
+	return nil
+}
+
+// close kills the process, if it has not ended, and waits for its end.
+func (p *process) close() {
+	_ = p.command.Process.Kill() // it may have ended already
+	<-p.ended
+	for _, end := range p.stalled {
+		if end != nil {
+			_ = end.Close() // nothing is left in it that anybody wants
+		}
+	}
+}
+
+func (p *process) signal(event PlannedEvent) {
+	for range max(event.Times, 1) {
+		_ = p.command.Process.Signal(signalNumbers[event.What]) // it may have ended already
+	}
+}
+
+// waitEnded waits until the process has ended, and reports whether it has.
+func (p *process) waitEnded(limit time.Duration) bool {
+	select {
+	case <-p.ended:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// waitReady waits until the gateway answers an empty query, which it does once it has an endpoint list.
+func (r *run) waitReady(ctx context.Context) error {
+	for began := time.Now(); time.Since(began) < readyLimit && ctx.Err() == nil; sleep(ctx, redialPause) {
+		if r.isReady() {
+			return nil
+		}
+	}
+	return errNotReady
+}
+
+func (r *run) isReady() bool {
+	conn, err := net.DialTimeout("tcp4", r.listen, dialTimeout)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }() // it has served its purpose
+	_ = conn.SetDeadline(time.Now().Add(dialTimeout))
+	startup := pgwire.AppendStartup(nil, "user", "soak", "database", "soak")
+	if _, err := conn.Write(pgwire.AppendQuery(startup, "")); err != nil {
+		return false
+	}
+	reader := bufio.NewReader(conn)
+	for {
+		message, err := emulator.ReadMessage(reader)
+		if err != nil || message.Type == 'E' {
+			return false
+		}
+		if message.Type == 'I' {
+			return true
+		}
+	}
+}
+
+// descriptors returns the number of descriptors that the process has open.
+func (p *process) descriptors() int {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	return len(entries)
+}
+
+// peakMemoryMB returns the most memory that the process has held, in MiB.
+func (p *process) peakMemoryMB() (mb int) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	var kib int
+	_, _ = fmt.Sscan(rest, &kib) // 0 then
+	return kib >> 10
+}
--- /dev/null
+++ b/internal/lab/restartsoak/soak.go
@@ -0,0 +1,239 @@
+package restartsoak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"cloverrock/internal/lab/emulator"
+	"cloverrock/internal/lab/loopback"
+)
+
+// Deliberate defects of a run, to show that each check finds its fault.
+const (
+	DefectNone      = ""
+	DefectAbrupt    = "abrupt"     // the process is killed at SIGTERM: requests are lost, and it does not end in order
+	DefectTwice     = "twice"      // a client sends each write a second time: writes run twice
+	DefectLateLeave = "late-leave" // clients count as gone before they close: attempts begin after that
+	DefectNoList    = "no-list"    // the process that returns gets no endpoint list: it is not ready
+	DefectStopped   = "stopped"    // the process is stopped after SIGTERM: it does not end
+	DefectHeld      = "held"       // connections are open where descriptors are counted
+	DefectMemory    = "memory"     // the limit of memory is lower than what any process needs
+)
+
+// Defects are the values of Options.Defect.
+var Defects = []string{
+	DefectAbrupt, DefectTwice, DefectLateLeave, DefectNoList, DefectStopped, DefectHeld, DefectMemory,
+}
+
+// Options of a run.
+type Options struct {
+	Program string // path of the gateway's program
+	Seed    uint64
+	Defect  string
+}
+
+// Result of a run.
+type Result struct {
+	Plan     Plan           `json:"plan"`
+	Defect   string         `json:"defect,omitempty"`
+	Requests int            `json:"requests"`
+	Answers  map[string]int `json:"answers"`
+	Faults   []string       `json:"faults"`
+	First    []string       `json:"first_fault_log,omitempty"` // log lines of the first request with a fault
+}
+
+const (
+	clientCount     = 24
+	clientsAhead    = 4 // one client in so many sends ahead
+	hostCount       = 3
+	hostWork        = 5 * time.Millisecond
+	replicaLag      = 15 * time.Millisecond
+	memoryMB        = 64
+	sockets         = 512
+	readyLimit      = 6 * time.Second
+	loadBefore      = 1200 * time.Millisecond // before the first SIGTERM
+	loadAfter       = time.Second             // after the return
+	finishTimeout   = 6 * time.Second         // for the last answers
+	descriptorLimit = 1500 * time.Millisecond // until the clients' descriptors are free, below any idle timeout
+	heldConnections = 30
+)
+
+// run holds the parts of one run.
+type run struct {
+	plan       Plan
+	program    string
+	defect     string
+	directory  string
+	listen     string
+	configFile string
+	hosts      []*emulator.Host
+	discovery  *emulator.Discovery
+	processes  int
+	all        []*process
+
+	mu         sync.Mutex // of what follows
+	lastID     int
+	generation int  // of the process that clients connect to
+	frontOpen  bool // whether new connections are sent to it
+	requests   []*request
+	arrivals   map[int][]time.Time // of requests at hosts, by id
+	executed   map[int]int         // times that each write was executed, by id
+	faults     []string
+}
+
+// Run makes one run.
+func Run(ctx context.Context, options Options) (*Result, error) {
+	r := &run{
+		plan: MakePlan(options.Seed), program: options.Program, defect: options.Defect,
+		arrivals: map[int][]time.Time{}, executed: map[int]int{},
+	}
+	var err error
+	if r.directory, err = os.MkdirTemp("", "restartsoak-"); err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(r.directory) }() // a directory that is left behind does no harm
+	defer r.close()
+	if err := r.open(); err != nil {
+		return nil, err
+	}
+	if err := r.play(ctx); err != nil {
+		return nil, err
+	}
+	return r.evaluate(), ctx.Err()
+}
+
+// open starts hosts and discovery and writes the gateway's configuration.
+func (r *run) open() error {
+	var err error
+	if r.discovery, err = emulator.NewDiscovery(); err != nil {
+		return err
+	}
+	for i := range hostCount {
+		host, err := emulator.NewHost(fmt.Sprintf("s-%d", i), hostWork, replicaLag)
+		if err != nil {
+			return err
+		}
+		r.hosts = append(r.hosts, host)
+		host.SetPrimary(i == 0)
+		host.Observe(r.observe, r.plan.HangPercent)
+	}
+	list, err := r.endpointList(1, r.hosts)
+	if err != nil {
+		return err
+	}
+	r.discovery.Publish(list)
+	return r.writeConfiguration(list)
+}
+
+func (r *run) endpointList(generation int, hosts []*emulator.Host) (string, error) {
+	var endpoints []map[string]any
+	for i, host := range hosts {
+		endpoints = append(endpoints, emulator.Endpoint(host, i == 0))
+	}
+	text, err := json.Marshal(map[string]any{"generation": generation, "reset": true, "instances": endpoints})
+	return string(text), err
+}
+
+func (r *run) writeConfiguration(list string) error {
+	free, err := loopback.Reserve(1)
+	if err != nil {
+		return err
+	}
+	r.listen = free[0]
+	r.configFile = filepath.Join(r.directory, "config.json")
+	settings := emulator.PlatformSettings()
+	settings["classes"] = r.classSettings()
+	text, err := json.Marshal(map[string]any{
+		"name": "soak", "listen": r.listen, "discovery": r.discovery.Address(),
+		"seed":   strconv.FormatUint(r.plan.Seed, 16),
+		"limits": map[string]any{"memory_mb": memoryMB, "sockets": sockets},
+		"known":  json.RawMessage(list), "settings": settings,
+	})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(r.configFile, text, 0o600)
+}
+
+// classSettings are the deployment's classes with the plan's deadlines.
+func (r *run) classSettings() []map[string]any {
+	classes := emulator.ClassSettings()
+	for _, settings := range classes {
+		deadline := min(settings["deadlineMs"].(int64), int64(r.plan.LongestMS))
+		if settings["repeat"] == "non_idempotent" {
+			deadline = int64(r.plan.LongestMS)
+		}
+		settings["deadlineMs"] = deadline
+	}
+	return classes
+}
+
+// close ends all that was started.
+func (r *run) close() {
+	for _, p := range r.all {
+		p.close()
+	}
+	for _, host := range r.hosts {
+		host.Close()
+	}
+	if r.discovery != nil {
+		r.discovery.Close()
+	}
+}
+
+// observe notes a request that arrives at a host.
+func (r *run) observe(statement string, executesWrite bool) {
+	id := idOf(statement)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals[id] = append(r.arrivals[id], time.Now())
+	if executesWrite {
+		r.executed[id]++
+		if r.defect == DefectTwice {
+			r.executed[id]++
+		}
+	}
+}
+
+// front returns the process that new connections go to, and whether any do.
+func (r *run) front() (generation int, open bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.generation, r.frontOpen
+}
+
+func (r *run) setFront(open bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if open {
+		r.generation++
+	}
+	r.frontOpen = open
+}
+
+func (r *run) newRequest(random *rand.Rand, generation int) *request {
+	classes := r.plan.classes()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastID++
+	return &request{id: r.lastID, class: classes[random.IntN(len(classes))], generation: generation}
+}
+
+func (r *run) record(req *request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests = append(r.requests, req)
+}
+
+func (r *run) fault(format string, a ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = append(r.faults, fmt.Sprintf(format, a...))
+}
