store/client: try each endpoint after a failed dial

Callers saw: with the first of two endpoints down, no call or watch ever tried the second. Cause: attempt and its caller both advanced to the next endpoint. Change: only the caller does. Evidence: TestFailedDialAdvancesByOneEndpoint failed before (dials 1 and 3 did not come), passes three times in a row after.

--- a/internal/store/client/client.go
+++ b/internal/store/client/client.go
@@ -131,13 +131,12 @@
 
 // attempt sends a request to the current endpoint, passes each response but the last to part, and returns the last. limit
 // bounds the wait for the last response; 0: only the context does. The connection is nil after a failed dial: nothing was
-// sent then, and attempt has advanced the endpoint.
+// sent then. After any error the caller advances the endpoint.
 func (c *Client) attempt(ctx context.Context, request *frame.Request, limit time.Duration, part partHandler) (*connection, *frame.Response, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, c.conf.AttemptTimeout)
 	conn, err := c.connect(dialCtx)
 	cancel()
 	if err != nil {
-		c.nextEndpoint(nil)
 		return nil, nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	request.ID = c.nextID()
--- /dev/null
+++ b/internal/store/client/client_test.go
@@ -0,0 +1,70 @@
+package client
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"cloverrock/internal/store/frame"
+)
+
+// testTimeout ends a test that hangs; no verdict depends on how soon anything happens.
+const testTimeout = 30 * time.Second
+
+// listenRefusing listens at an address at which every dial fails after the connection was accepted, and returns a channel
+// with a token for each.
+func listenRefusing(t *testing.T) (address string, dialed <-chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	tokens := make(chan struct{}, 64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close() // before the TLS handshake
+			tokens <- struct{}{}
+		}
+	}()
+	return listener.Addr().String(), tokens
+}
+
+// After a failed dial the next endpoint is tried, and none is skipped: of two, the second was never tried.
+func TestFailedDialAdvancesByOneEndpoint(t *testing.T) {
+	for name, call := range map[string]func(context.Context, *Client) error{
+		"call": func(ctx context.Context, c *Client) error {
+			_, err := c.Call(ctx, &frame.Request{Op: frame.OpRead}, Idempotent)
+			return err
+		},
+		"watch": func(ctx context.Context, c *Client) error { return c.Watch(ctx, "n", "", 0, nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, firstDialed := listenRefusing(t)
+			second, secondDialed := listenRefusing(t)
+			client := New(Config{Endpoints: []string{first, second}, TLS: &tls.Config{ServerName: "store"}})
+			t.Cleanup(client.Close)
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() { ended <- call(ctx, client) }()
+			for i, dialed := range []<-chan struct{}{firstDialed, secondDialed, firstDialed, secondDialed} {
+				select {
+				case <-dialed:
+				case <-time.After(testTimeout):
+					t.Errorf("dial %d did not come", i)
+				}
+			}
+			cancel()
+			if err := <-ended; !errors.Is(err, context.Canceled) {
+				t.Errorf("ended by %v", err)
+			}
+		})
+	}
+}
