store/core: answer reads that wait for their index when the instance halts

Callers saw: no answer to a read that was asked for just before the instance halted. Cause: halt answered confirmed reads only; an index that came later was never reached, since a halted instance applies nothing. Change: halt answers all reads with its error. Evidence: TestReadBeforeHaltIsAnswered failed before (no answer), passes.

--- a/internal/store/core/apply.go
+++ b/internal/store/core/apply.go
@@ -65,8 +65,7 @@
 	return op.Kind.Writes() && (op.NS == MembersNS || op.NS == RemovedNS)
 }
 
-// halt stops applying entries permanently. It answers the pending proposals with ErrOutcomeUnknown and the confirmed
-// reads with err.
+// halt stops applying entries permanently. It answers the pending proposals with ErrOutcomeUnknown and all reads with err.
 func (c *Core) halt(err error) {
 	c.halted = err
 	c.abandonProposals(func(pendingProposal) bool { return true })
@@ -74,6 +73,12 @@
 		c.failReads(read.tokens, err)
 	}
 	c.confirmedReads = nil
+	for _, request := range c.readRequests {
+		c.failReads(request.tokens, err)
+	}
+	c.readRequests = nil
+	c.failReads(c.queuedReads, err)
+	c.queuedReads = nil
 }
 
 // applyConfChange applies a change of the members, and the command that is carried in its context.
--- a/internal/store/core/apply_test.go
+++ b/internal/store/core/apply_test.go
@@ -7,6 +7,40 @@
 	"cloverrock/internal/store/machine"
 )
 
+// A read that was asked for before the instance halted is answered: its index is beyond what the instance will ever apply.
+func TestReadBeforeHaltIsAnswered(t *testing.T) {
+	cl := newCluster(t, 1, machine.Format+1, machine.Format+1)
+	leader := cl.elect(2)
+	old := cl.cores[1]
+	var held []Envelope
+	cl.transmit = func(e Envelope) {
+		if e.To == 1 {
+			held = append(held, e)
+			return
+		}
+		cl.deliver(e)
+	}
+	leader.Propose(1, &machine.Command{Format: machine.Format + 1, Kind: machine.TransactionKind})
+	cl.runUntilIdle()
+	old.Read(2)
+	cl.runUntilIdle()
+	cl.transmit = cl.deliver
+	for _, e := range held {
+		cl.deliver(e)
+	}
+	cl.runUntilIdle()
+	if old.Status().Halted == "" {
+		t.Fatal("not halted")
+	}
+	for range 2 * readIndexTimeout {
+		old.Tick()
+		cl.runUntilIdle()
+	}
+	if answer, answered := cl.answers[1][2]; !answered || !errors.Is(answer.Err, ErrHalted) {
+		t.Errorf("the read was answered: %t, %+v", answered, answer)
+	}
+}
+
 // The agreed format is raised only when all members support the newer one. An instance that receives a command of a newer
 // format nevertheless stops applying and reports it, and the others keep their quorum.
 func TestUnsupportedFormatHaltsOnlyTheOldInstance(t *testing.T) {
