store/core: resume a leader's periodic tasks when raft gives a transfer up

Operators would see: leases that never run out and learners that never vote after a transfer of leadership that was not completed. Cause: the core's own note of the transfer was cleared only by a change of leader; raft abandons a transfer silently. Change: raft is asked whether it is transferring; the note is gone.

--- a/internal/store/core/core.go
+++ b/internal/store/core/core.go
@@ -58,7 +58,6 @@
 	freshAt         int64                      // latest tick at which the state was known to be up to date; -1: none yet
 
 	leader         uint64 // raft.None: unknown
-	transferringTo uint64 // member to which leadership is being transferred; 0: none
 	memberVersion  uint64 // grows when the records of the members may have changed
 	clockTick      int64  // tick up to which the logical clock was advanced
 	caughtUpChecks map[uint64]int
--- a/internal/store/core/leader.go
+++ b/internal/store/core/leader.go
@@ -21,7 +21,7 @@
 // leaderDuties performs the periodic tasks of a leader: it advances the logical clock, raises the format of commands
 // once all members support it, and promotes learners that have caught up to voters.
 func (c *Core) leaderDuties() {
-	if !c.IsLeader() || c.halted != nil || c.transferringTo != 0 {
+	if !c.IsLeader() || c.halted != nil || c.isTransferring() {
 		return
 	}
 	c.advanceClock()
@@ -32,6 +32,9 @@
 	c.promoteLearner()
 }
 
+// isTransferring reports whether raft is transferring leadership; it gives that up after an election timeout.
+func (c *Core) isTransferring() bool { return c.raftNode.BasicStatus().LeadTransferee != raft.None }
+
 // advanceClock proposes to advance the logical clock by the elapsed time. Time is counted from the last change of
 // leader at the earliest, so that such a change can extend leases but never shorten them.
 func (c *Core) advanceClock() {
@@ -99,7 +102,7 @@
 
 // TransferLeadership starts to transfer leadership to the recently heard follower with the longest matching log, and
 // returns its id. It reports false if this instance is not the leader or no follower is eligible. Until the leader
-// changes, the periodic tasks of this one are suspended.
+// changes or raft gives up, the periodic tasks of this one are suspended.
 func (c *Core) TransferLeadership() (to uint64, ok bool) {
 	if !c.IsLeader() {
 		return 0, false
@@ -116,7 +119,6 @@
 	if best == 0 {
 		return 0, false
 	}
-	c.transferringTo = best
 	c.raftNode.TransferLeader(best)
 	return best, true
 }
--- a/internal/store/core/work.go
+++ b/internal/store/core/work.go
@@ -72,7 +72,6 @@
 	}
 	c.leader = leader
 	c.clockTick = c.now
-	c.transferringTo = 0
 	clear(c.caughtUpChecks)
 }
 
