simprotocol: report numbers beyond 63 bits as errors

Cause: numbers of 19 digits were added up without a look at overflow, and fractions beyond an int64 were converted. Change: 18 digits at most are converted without strconv; integers written as fractions have a limit.

--- a/internal/simprotocol/line.go
+++ b/internal/simprotocol/line.go
@@ -75,8 +75,12 @@
 	}
 }
 
-// maxFastDigits is the largest number of digits that is converted without strconv.
-const maxFastDigits = 19
+const (
+	// maxFastDigits is the largest number of digits that is converted without strconv: any such number fits into 63 bits.
+	maxFastDigits = 18
+	// fractionLimit bounds integers that are written as fractions: beyond it a float64 may not fit into an int64.
+	fractionLimit = 1 << 62
+)
 
 func (r *valueReader) int(name string) int64 {
 	b := r.line.Get(name)
@@ -102,7 +106,7 @@
 	if err == nil {
 		return n
 	}
-	if f, err := strconv.ParseFloat(string(b), 64); err == nil && f == math.Trunc(f) {
+	if f, err := strconv.ParseFloat(string(b), 64); err == nil && f == math.Trunc(f) && math.Abs(f) <= fractionLimit {
 		return int64(f)
 	}
 	r.fail(name, b)
--- a/internal/simprotocol/line_test.go
+++ b/internal/simprotocol/line_test.go
@@ -32,6 +32,18 @@
 	}
 }
 
+// A number beyond 63 bits is an error: it came out as another number, silently.
+func TestNumbersBeyond63BitsAreErrors(t *testing.T) {
+	for _, text := range []string{
+		"9223372036854775808", "9999999999999999999", "-9223372036854775809", "99999999999999999999", "1e19", "-1e300",
+	} {
+		r := valueReader{line: ParseLine([]byte("call ticket=" + text))}
+		if got := r.int("ticket"); r.err == nil {
+			t.Errorf("%s: %d without an error", text, got)
+		}
+	}
+}
+
 func TestNumbersMayBeSignedLongOrWholeFractions(t *testing.T) {
 	for text, want := range map[string]int64{
 		"7":                    7,
