storesim: admit on a confirmed state, and count a voter once all others know of it

Change: proposeJoin waits for a linearizable read, as the program does; a replacement counts as joined once all other instances have it as a voter.

--- a/internal/lab/storesim/membership.go
+++ b/internal/lab/storesim/membership.go
@@ -29,40 +29,50 @@
 	s.start(s.indexOf(inst.id))
 }
 
-// admit asks another instance to admit this one, until it is a voter. A learner does not count: until then the others must
-// keep their disks.
+// admit asks another instance to admit this one, until all others have it as a voter. A learner does not count, nor does a
+// voter that only some know of: until then the others must keep their disks. One that has not applied the change still
+// counts the votes of the members before it, of which another lost disk would leave too few.
 func (s *simulation) admit(inst *instance) {
 	if inst.joined {
 		return
 	}
 	asked := false
+	others := 0 // that have it as a voter
 	for _, other := range s.instances {
 		if other.core == nil || other.id == inst.id || other.diskFull {
 			continue
 		}
 		if slices.Contains(other.core.Status().Voters, inst.id) {
-			inst.joined = true
-			return
+			others++
+			continue
 		}
 		if _, member := core.Members(other.core.Machine())[inst.id]; member || asked {
 			continue
 		}
 		asked = true
-		if !s.proposeJoin(other, inst) {
-			return
-		}
+		s.proposeJoin(other, inst)
 	}
+	inst.joined = others == len(s.instances)-1
 	s.schedule(admitInterval, func() { s.admit(inst) })
 }
 
-func (s *simulation) proposeJoin(at, joining *instance) bool {
-	member := core.Member{Name: joining.name, Format: machine.Format}
-	change, command, err := core.PlanJoin(at.core.Machine(), joining.id, member, "")
-	if err != nil {
-		s.addViolation("admit: %v", err)
-		return false
+// proposeJoin plans the change, as an instance does, on a state that a linearizable read has confirmed: one that is behind may
+// not know the member that is replaced.
+func (s *simulation) proposeJoin(at, joining *instance) {
+	s.lastToken++
+	id := joining.id
+	s.waiting[s.lastToken] = func(answer core.Answer) {
+		if answer.Err != nil || at.core == nil || joining.id != id {
+			return
+		}
+		member := core.Member{Name: joining.name, Format: machine.Format}
+		change, command, err := core.PlanJoin(at.core.Machine(), id, member, "")
+		if err != nil {
+			s.addViolation("admit: %v", err)
+			return
+		}
+		at.core.ProposeMembershipChange(0, change, command)
 	}
-	at.core.ProposeMembershipChange(0, change, command)
+	at.core.Read(s.lastToken)
 	s.process(at)
-	return true
 }
