store/core: promote no learner that has received nothing

Operators would see: a young store with one member lost that stands still while a new instance with a full disk joins: it votes although it has nothing. Cause: within 256 entries of the commit index counted as caught up, also for an instance at 0. Evidence: TestEmptyLearnerIsNotPromoted failed before (4 voters), passes; tests of core, node and storesim pass.

--- a/internal/store/core/leader.go
+++ b/internal/store/core/leader.go
@@ -81,7 +81,8 @@
 	ready := uint64(0)
 	c.raftNode.WithProgress(func(id uint64, kind raft.ProgressType, pr progress) {
 		isLearner := kind == raft.ProgressTypeLearner
-		if !isLearner || !c.recentlyHeard(id) || pr.Match+caughtUpEntries < commit {
+		receivesLog := pr.State == tracker.StateReplicate // not before its first entries or snapshot have arrived
+		if !isLearner || !receivesLog || !c.recentlyHeard(id) || pr.Match+caughtUpEntries < commit {
 			c.caughtUpChecks[id] = 0
 			return
 		}
