eventloop: end at once when a timer stops the loop

Operators would see: an orderly end that takes up to 0.1 s longer, which may pass the kill. Cause: the loop waited for the next event or timer before it looked at the stop. Change: it looks before it waits. Evidence: TestStopInATimerEndsTheLoop failed before (no end), passes three times.

--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -166,7 +166,7 @@
 	for !l.stopped {
 		handled := l.handleQueue()
 		l.runTimers()
-		if handled > 0 {
+		if handled > 0 || l.stopped {
 			continue
 		}
 		alarm.Reset(l.untilNextTimer())
--- a/internal/eventloop/timer_test.go
+++ b/internal/eventloop/timer_test.go
@@ -28,3 +28,11 @@
 		t.Error(d)
 	}
 }
+
+// A loop that a timer stops ends at once, and not with the next event or timer.
+func TestStopInATimerEndsTheLoop(t *testing.T) {
+	l := startLoop(t, nil)
+	l.waitForEngine() // its events would end the wait, too
+	l.onLoop(func() { l.CallAt(l.Now()+20_000, l.Stop) })
+	receive(t, l.Done(), "the end")
+}
