zonefailover: add up hosts in a fixed order

Cause: latency shares were added in the order of a map, so the same observations gave sums that differ in the last bit. Change: hosts are added in the order of their names. Evidence: TestViewIsTheSameForTheSameObservations failed before, passes; golden hashes are unchanged.

--- a/internal/zonefailover/evidence.go
+++ b/internal/zonefailover/evidence.go
@@ -1,5 +1,10 @@
 package zonefailover
 
+import (
+	"maps"
+	"slices"
+)
+
 const (
 	minRetainedWeight      = 0.2       // a host whose observations weigh less, after fading, is removed
 	silentFailureThreshold = 1.5       // failures, after fading, above which a host without recent success is failing
@@ -141,7 +146,8 @@
 		zones[i].groups = map[int64]bool{}
 		zones[i].failingGroups = map[int64]bool{}
 	}
-	for id, host := range c.hosts {
+	for _, id := range slices.Sorted(maps.Keys(c.hosts)) { // the order of a sum of floats changes its last bit
+		host := c.hosts[id]
 		host.fade(now, c.conf.Window)
 		if host.succeeded+host.failed < minRetainedWeight {
 			delete(c.hosts, id)
--- a/internal/zonefailover/evidence_test.go
+++ b/internal/zonefailover/evidence_test.go
@@ -69,3 +69,20 @@
 		}
 	}
 }
+
+// The same observations give the same view to the last bit, in whatever order the hosts are added up.
+func TestViewIsTheSameForTheSameObservations(t *testing.T) {
+	assess := func() float64 {
+		c := NewEvidenceCollector(EvidenceConfig{Zones: 1, MinHosts: 1, Window: 10e6, FailingShare: 0.5})
+		for i := range 40 {
+			c.Observe(Observation{Host: string(rune('a' + i)), At: 1, LatencyShare: 1 / float64(3+i)})
+		}
+		return c.sumByZone(1)[0].latencyShare
+	}
+	first := assess()
+	for range 50 {
+		if again := assess(); again != first {
+			t.Fatalf("%v and then %v", first, again)
+		}
+	}
+}
