membership: leave no deadline of the dial on relayed streams

Seen: in experiments with a relay, a stream to a member that took longer than the dial's timeout to answer was cut off; the program without a relay is not concerned. Cause: the deadline for the line that names the receiver stayed on the connection. Change: it is cleared. Evidence: TestRelayedStreamHasNoDeadlineOfItsDial failed before (i/o timeout), passes.

--- a/internal/membership/transport.go
+++ b/internal/membership/transport.go
@@ -38,6 +38,7 @@
 		_ = conn.Close() // the write error is the cause
 		return nil, err  // not wrapped, since the library checks network errors by type
 	}
+	_ = conn.SetDeadline(time.Time{}) // as above; the library sets its own
 	return conn, nil
 }
 
