membership: publish the member list before the library's goroutines count it

Cause: the library counts members on goroutines that it starts before it returns the list that they are counted in: a data race. Evidence: TestMembersAreCountedWhileTheListIsMade under the race detector reported the race before, and none in 5 runs after.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -11,6 +11,7 @@
 	"log"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/memberlist"
@@ -84,6 +85,7 @@
 type Members struct {
 	conf  Config
 	list  *memberlist.Memberlist
+	made  atomic.Pointer[memberlist.Memberlist] // the list, for goroutines of the library that run before there is one
 	queue *memberlist.TransmitLimitedQueue
 
 	mu       sync.Mutex           // guards failedAt
@@ -114,10 +116,12 @@
 	}
 	library := m.libraryConfig(address, &transport{NetTransport: inner, relay: conf.Relay}, logger)
 	m.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: library.RetransmitMult, NumNodes: m.count}
-	if m.list, err = memberlist.Create(library); err != nil {
+	list, err := memberlist.Create(library)
+	if err != nil {
 		_ = inner.Shutdown() // the returned error is the cause
 		return nil, fmt.Errorf("membership: start: %w", err)
 	}
+	m.setList(list)
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
 	m.wg.Go(func() { m.join(ctx) })
@@ -145,12 +149,18 @@
 	return c
 }
 
+func (m *Members) setList(list *memberlist.Memberlist) {
+	m.list = list
+	m.made.Store(list)
+}
+
 // count is how many members are alive; the library asks for it while it starts, too.
 func (m *Members) count() int {
-	if m.list == nil {
+	list := m.made.Load()
+	if list == nil {
 		return 1
 	}
-	return m.list.NumMembers()
+	return list.NumMembers()
 }
 
 // join contacts the configured addresses, with exponential backoff, whenever this gateway has no other member.
--- a/internal/membership/transport_test.go
+++ b/internal/membership/transport_test.go
@@ -41,3 +41,14 @@
 		t.Errorf("an answer after the dial's timeout: %v", err)
 	}
 }
+
+// The library counts members on goroutines that it starts before its list is returned: found by the race detector only.
+func TestMembersAreCountedWhileTheListIsMade(t *testing.T) {
+	m := &Members{}
+	counted := make(chan int)
+	go func() { counted <- m.count() }()
+	m.setList(&memberlist.Memberlist{})
+	if n := <-counted; n > 1 {
+		t.Errorf("%d members", n)
+	}
+}
