processrig: show the log lines of lost requests, idle hosts and how late processes run

Need: the rig removed its logs with the run, and no log named a request, so a lost request could not be traced. Change: up to eight gateways log at trace level, each to a file of its own; a lost request is shown with its lines and the logs stay; an idle host second is shown with the counts of its group, the gateways' lines on that host and by how much the rig and each gateway ran late.

--- a/internal/lab/emulator/load.go
+++ b/internal/lab/emulator/load.go
@@ -16,6 +16,7 @@
 
 // Sample is one request. Its latency counts from the time for which it was scheduled.
 type Sample struct {
+	ID        int // in the comment of its statement, the last time it was sent
 	At        time.Time
 	Class     int
 	Succeeded bool
@@ -107,28 +108,29 @@
 
 // play sends one request and records its outcome.
 func (l *Load) play(class, gateway, group int, at time.Time) {
-	asked, err := l.ask(class, gateway, group, at)
+	id, asked, err := l.ask(class, gateway, group, at)
 	sample := Sample{
-		At: at, Class: class, Succeeded: err == nil, Latency: time.Since(at), Gateway: asked, Err: err,
+		ID: id, At: at, Class: class, Succeeded: err == nil, Latency: time.Since(at), Gateway: asked, Err: err,
 	}
 	l.mu.Lock()
 	l.samples = append(l.samples, sample)
 	l.mu.Unlock()
 }
 
-// ask sends a request and returns the gateway that it went to. It is sent again, on a new connection, where the gateway
+// ask sends a request and returns its id and the gateway that it went to. It is sent again, on a new connection, where the gateway
 // had closed the idle connection before it read the request.
-func (l *Load) ask(class, gateway, group int, at time.Time) (int, error) {
+func (l *Load) ask(class, gateway, group int, at time.Time) (id, asked int, err error) {
 	req := request{class: &Classes[class], group: group, id: l.nextID(), deadline: at.Add(Classes[class].Deadline)}
 	if connection := l.takeIdle(gateway); connection != nil && connection.open() {
 		err := l.exchange(connection, req)
 		if err == nil || errors.Is(err, ErrRejected) || !connection.closedUnread(err) {
-			return gateway, err
+			return req.id, gateway, err
 		}
 		l.countResent()
 		req.id = l.nextID()
 	}
-	return l.askOnNew(gateway, req)
+	asked, err = l.askOnNew(gateway, req)
+	return req.id, asked, err
 }
 
 // askOnNew sends a request on a new connection to the gateway, or to the next that is not draining.
--- a/internal/lab/processrig/evaluate.go
+++ b/internal/lab/processrig/evaluate.go
@@ -14,6 +14,7 @@
 // evaluate fills in the result of a run from the clients' samples, the hosts' logs and the processes.
 func (r *rig) evaluate(samples []emulator.Sample) {
 	r.evaluateSamples(samples)
+	r.result.Stalls = r.stalls()
 	delivered, bytes, lost := r.datagrams.counts()
 	connections := r.countConnections()
 	r.endGateways()
@@ -25,6 +26,7 @@
 	defer r.mu.Unlock()
 	r.result.CPU = float64(r.endedCPU.Milliseconds()) / requests
 	r.result.Spread = measureSpread(r.replicaLogs(), settlingTime, r.For)
+	r.logIdleHosts()
 	r.result.Spread.ConnectionsP50 = connections[len(connections)/2]
 	r.result.Spread.ConnectionsMax = connections[len(connections)-1]
 	r.result.HerdsAtMost = int(1.5*r.result.Spread.FairHerds) + 20
@@ -63,6 +65,7 @@
 		r.result.Lost++
 		r.Log("lost at gateway %d, sent at %v: %v after %v",
 			sample.Gateway, sample.At.Sub(r.start), sample.Err, sample.Latency)
+		r.logRequest(sample.Gateway, sample.ID)
 	}
 }
 
--- a/internal/lab/processrig/gateway.go
+++ b/internal/lab/processrig/gateway.go
@@ -7,7 +7,6 @@
 	"net"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -35,9 +34,6 @@
 // errEndedAtStart reports a gateway that ended before it accepted connections.
 var errEndedAtStart = errors.New("ended at its start")
 
-// logName is the file in the rig's directory to which all gateways log.
-const logName = "log"
-
 // readyPoll is the pause between tries to connect to a gateway that starts.
 const readyPoll = 5 * time.Millisecond
 
@@ -67,12 +63,15 @@
 
 func (r *rig) startGateway(i int) error {
 	gateway := r.gateways[i]
-	log, err := os.OpenFile(filepath.Join(r.directory, logName), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(r.logFile(i), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = log.Close() }() // the process has a descriptor of its own
 	args := []string{"serve"}
+	if r.Zoned == nil && r.Gateways <= maxTraced {
+		args = append(args, "--log", "trace")
+	}
 	if gateway.settingsFile != "" {
 		args = append(args, "--settings", gateway.settingsFile)
 	}
--- a/internal/lab/processrig/result.go
+++ b/internal/lab/processrig/result.go
@@ -31,6 +31,8 @@
 	EndedByThemselves    int     `json:"gateways_died"`
 	Events               []Event `json:"events"`
 	SettlingMS           int64   `json:"settling_ms"`
+	// Stalls are by how many milliseconds processes were late at the most: this one, and each gateway that is traced.
+	Stalls map[string]int64 `json:"stalls_ms"`
 
 	Zone        *ZoneResult `json:"zone,omitempty"`
 	HerdsAtMost int         `json:"herd_windows_at_most"`
--- a/internal/lab/processrig/rig.go
+++ b/internal/lab/processrig/rig.go
@@ -25,6 +25,7 @@
 	fleetRelay  *fleetRelay // nil in a run without zones
 	cut         cutFunc
 	gateways    []*gatewayProcess
+	stallWatch  *stallWatch
 
 	mu       sync.Mutex // of what follows
 	start    time.Time  // of the requests
@@ -54,7 +55,7 @@
 	if r.directory, err = os.MkdirTemp("", "processrig-"); err != nil {
 		return nil, err
 	}
-	defer func() { _ = os.RemoveAll(r.directory) }() // a directory that is left behind does no harm
+	defer r.removeDirectory()
 	defer r.close()
 	if err := r.open(); err != nil {
 		return nil, err
@@ -220,6 +221,7 @@
 	r.mu.Unlock()
 	run, stop := context.WithTimeout(ctx, r.For)
 	defer stop()
+	r.stallWatch = watchStalls(run)
 	var faults sync.WaitGroup
 	r.beginFaults(run, &faults)
 	samples := load.Run(run)
--- a/internal/lab/processrig/spread.go
+++ b/internal/lab/processrig/spread.go
@@ -128,7 +128,7 @@
 		s.Fair1s += window.fairVariation()
 		peaks = append(peaks, float64(slices.Max(window.counts))/window.mean)
 		for _, count := range window.counts {
-			if float64(count) < idlePart*window.mean && 1-window.chanceOfMoreThan(count) < rareChance {
+			if window.isIdle(count) {
 				s.IdleSeconds++
 			}
 		}
@@ -175,6 +175,11 @@
 	return math.Sqrt(w.mean*(1-1/float64(len(w.counts)))) / w.mean
 }
 
+// isIdle reports whether a host with a count of requests was idle in the window.
+func (w groupWindow) isIdle(count int) bool {
+	return float64(count) < idlePart*w.mean && 1-w.chanceOfMoreThan(count) < rareChance
+}
+
 // chanceOfMoreThan is the probability that a host gets more than k of the window's requests, were they drawn at random.
 func (w groupWindow) chanceOfMoreThan(k int) float64 {
 	hosts := float64(len(w.counts))
--- a/internal/lab/processrig/zoneresult.go
+++ b/internal/lab/processrig/zoneresult.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 
@@ -54,7 +53,7 @@
 
 // evaluateZones evaluates the gateways' log lines, the requests at the hosts and the clients' samples.
 func (r *rig) evaluateZones(samples []emulator.Sample) (*ZoneResult, error) {
-	lines, err := readInForceLines(filepath.Join(r.directory, logName))
+	lines, err := readInForceLines(r.logFile(0))
 	if err != nil {
 		return nil, err
 	}
