--- a/internal/lab/processrig/evidence.go
+++ b/internal/lab/processrig/evidence.go
@@ -72,9 +72,9 @@
 	}
 	for group, members := range groups {
 		for at := settlingTime; at+longWindow <= r.For; at += longWindow {
-			window, any := windowOf(members, at, at+longWindow)
+			window, requested := windowOf(members, at, at+longWindow)
 			for i, count := range window.counts {
-				if any && window.isIdle(count) {
+				if requested && window.isIdle(count) {
 					r.logIdle(group, i, at, window)
 				}
 			}
--- a/internal/lab/processrig/stalls.go
+++ b/internal/lab/processrig/stalls.go
@@ -34,8 +34,8 @@
 // counts once a second.
 func (r *rig) stalls() map[string]int64 {
 	stalls := map[string]int64{"rig": r.stallWatch.longest.Load()}
-	for i, gateway := range r.gateways {
-		if late, ok := r.gatewayStall(i, gateway); ok {
+	for i := range r.gateways {
+		if late, ok := r.gatewayStall(i); ok {
 			stalls[fmt.Sprintf("gateway %d", i)] = late
 		}
 	}
@@ -43,7 +43,7 @@
 }
 
 // gatewayStall returns the longest delay of a gateway's line of counts; false if there are no two of them.
-func (r *rig) gatewayStall(i int, gateway *gatewayProcess) (late int64, ok bool) {
+func (r *rig) gatewayStall(i int) (late int64, ok bool) {
 	file, err := os.Open(r.logFile(i))
 	if err != nil {
 		return 0, false
