--- a/internal/app/log_test.go
+++ b/internal/app/log_test.go
@@ -1,30 +1,20 @@
 package app
 
 import (
-	"errors"
 	"os"
 	"syscall"
 	"testing"
+
+	"cloverrock/internal/lab/fullpipe"
 )
 
-// openFullPipe returns the ends of a pipe whose buffer is full.
+// openFullPipe returns the ends of a pipe whose buffer is full, until the test ends.
 func openFullPipe(t *testing.T) (reader, writer *os.File) {
 	t.Helper()
-	var ends [2]int
-	if err := syscall.Pipe2(ends[:], syscall.O_CLOEXEC|syscall.O_NONBLOCK); err != nil {
-		t.Fatal(err)
-	}
-	for line := make([]byte, 4096); ; {
-		if _, err := syscall.Write(ends[1], line); errors.Is(err, syscall.EAGAIN) {
-			break
-		} else if err != nil {
-			t.Fatal(err)
-		}
-	}
-	if err := syscall.SetNonblock(ends[1], false); err != nil {
+	reader, writer, err := fullpipe.Open()
+	if err != nil {
 		t.Fatal(err)
 	}
-	reader, writer = os.NewFile(uintptr(ends[0]), "reader"), os.NewFile(uintptr(ends[1]), "writer")
 	t.Cleanup(func() {
 		_ = reader.Close() // a test may have closed it
 		_ = writer.Close()
--- a/internal/lab/restartsoak/process.go
+++ b/internal/lab/restartsoak/process.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"cloverrock/internal/lab/emulator"
+	"cloverrock/internal/lab/fullpipe"
 	"cloverrock/internal/pgwire"
 )
 
@@ -56,7 +57,10 @@
 
 func (p *process) openLog(directory string, number int, stalled bool) error {
 	if stalled {
-		return p.openStalledLog()
+		reader, writer, err := fullpipe.Open()
+		p.stalled = [2]*os.File{reader, writer}
+		p.command.Stderr = writer
+		return err
 	}
 	p.logFile = filepath.Join(directory, fmt.Sprintf("%d.log", number))
 	file, err := os.Create(p.logFile)
@@ -64,27 +68,6 @@
 	return err
 }
 
-// openStalledLog makes the log a pipe that is full and that nobody reads.
-func (p *process) openStalledLog() error {
-	var ends [2]int
-	if err := syscall.Pipe2(ends[:], syscall.O_CLOEXEC|syscall.O_NONBLOCK); err != nil {
-		return err
-	}
-	var err error
-	for page := make([]byte, os.Getpagesize()); err == nil; {
-		_, err = syscall.Write(ends[1], page)
-	}
-	if !errors.Is(err, syscall.EAGAIN) {
-		return err
-	}
-	if err := syscall.SetNonblock(ends[1], false); err != nil {
-		return err
-	}
-	p.stalled = [2]*os.File{os.NewFile(uintptr(ends[0]), "log"), os.NewFile(uintptr(ends[1]), "log")}
-	p.command.Stderr = p.stalled[1]
-	return nil
-}
-
 // close kills the process, if it has not ended, and waits for its end.
 func (p *process) close() {
 	_ = p.command.Process.Kill() // it may have ended already
