End by the kill although a component is still closing

Operators would see: a gateway with the store or the fleet that is killed at the end of a planned restart, as its disk stalls or the fleet takes long to hear that it leaves. Cause: serve closed its component after the event loop, without a limit of time. Change: it has until 0.05 s before the earliest kill; the flush of the log takes 0.03 s at most, for that. Evidence: TestEndDoesNotWaitForASlowComponent (the code before waited for Close without a limit).

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -81,7 +81,7 @@
 }
 
 // logFlushTimeout limits the wait for the reader of the log when the program ends.
-const logFlushTimeout = 50 * time.Millisecond
+const logFlushTimeout = 30 * time.Millisecond
 
 // Logger returns a logger that writes lines of a level and above as JSON, with the gateway's name in each. Whoever logs does
 // not wait for the reader of the log. flush must be called after the last line; it takes at most logFlushTimeout. An unknown
--- a/internal/app/lifecycle.go
+++ b/internal/app/lifecycle.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"cloverrock/internal/config"
 )
@@ -86,6 +87,24 @@
 	s.loop.CallAt(now+s.drainDelay, s.stopAccepting)
 	s.loop.CallAt(killAt-answerMargin, s.frontend.CloseRemaining)
 	s.loop.CallAt(killAt-exitMargin, s.loop.Stop)
+	s.killAt = killAt
+}
+
+// closeInTime closes the component once the loop has ended, and reports whether that was done by half of exitMargin before the
+// earliest kill. The component's data outlives a process that ends meanwhile, as it does one that is killed.
+func (s *server) closeInTime(component Component) bool {
+	closed := make(chan struct{})
+	go func() {
+		component.Close()
+		close(closed)
+	}()
+	left := time.Duration(s.killAt-exitMargin/2-s.loop.Now()) * time.Microsecond
+	select {
+	case <-closed:
+		return true
+	case <-time.After(left):
+		return false
+	}
 }
 
 // stopAccepting ends the drain delay. Connections that the kernel has already accepted are still served.
--- a/internal/app/serve.go
+++ b/internal/app/serve.go
@@ -24,13 +24,15 @@
 		if err != nil {
 			return err
 		}
-		defer component.Close()
 		conf = component.OverlayConfig(conf)
 	}
 	t := timeouts{message: messageTimeout, idle: idleTimeout, firstList: firstListTimeout}
 	s, err := newServer(conf, t, component != nil, log)
 	if err != nil {
 		log.Error().Err(err).Msg("app: start failed")
+		if component != nil {
+			component.Close()
+		}
 		return err
 	}
 	readConfig := func() (*config.Config, error) { return config.Reload(c.getenv) }
@@ -42,6 +44,9 @@
 	go s.reloadAt(signals.reload, readConfig)
 	log.Info().Str("version", Version()).Str("listen", s.loop.Address()).Msg("app: serving")
 	s.loop.Run()
+	if component != nil && !s.closeInTime(component) {
+		log.Warn().Msg("app: component still closing, ended without it")
+	}
 	log.Info().Msg("app: ended")
 	return nil
 }
--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -62,6 +62,7 @@
 	watch      *discovery.Watch
 	drainDelay int64 // µs
 	draining   bool
+	killAt     int64                  // µs; the earliest kill, once it drains
 	endpoints  discovery.EndpointList // the current list
 }
 
--- a/internal/app/shutdown_test.go
+++ b/internal/app/shutdown_test.go
@@ -34,6 +34,33 @@
 	gw.wantEnded()
 }
 
+// closingComponent is a component that closes when the test lets it.
+type closingComponent struct {
+	Component
+	mayClose chan struct{}
+}
+
+func (c closingComponent) Close() { <-c.mayClose }
+
+// A component that takes long to close does not hold the process beyond the kill.
+func TestEndDoesNotWaitForASlowComponent(t *testing.T) {
+	gw := startGateway(t, 0, func(c *config.Config) { c.LongestDeadline = 0 })
+	gw.onLoop(gw.server.drain)
+	gw.wantEnded()
+	component := closingComponent{mayClose: make(chan struct{})}
+	if gw.server.closeInTime(component) {
+		t.Error("closed, although the component is not")
+	}
+	if now := gw.server.loop.Now(); now > gw.server.killAt {
+		t.Errorf("%d us after the kill", now-gw.server.killAt)
+	}
+	close(component.mayClose)
+	gw.server.killAt = gw.server.loop.Now() + testTimeout.Microseconds()
+	if !gw.server.closeInTime(component) {
+		t.Error("not closed, although there was time")
+	}
+}
+
 // shutdownCase is what a client sends around the moment at which its connection ends.
 type shutdownCase struct {
 	silent bool // the connection has sent nothing before
