asynclog: keep the ring's own reports off standard error

Callers would see: a gateway that stands still after all, where the reader of a stalled log comes back in the very moment in which a line takes its place in the ring. Cause: zerolog's ring reports such a collision by the standard logger, which writes to standard error on the caller's goroutine: the event loop. Change: the standard logger is silenced for the process; nothing else that runs in it uses it but the HTTP client's rare notes.

--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"io"
+	"log"
 	"os/signal"
 	"sync/atomic"
 	"syscall"
@@ -27,10 +28,12 @@
 	sink *sink
 }
 
-// New returns a Writer to out; its reports bear the gateway's name. It ignores SIGPIPE for the process: where the reader of
-// the log is gone, a write fails instead of ending the program.
+// New returns a Writer to out; its reports bear the gateway's name. For the whole process it ignores SIGPIPE, so that a write
+// fails where the reader of the log is gone instead of ending the program, and silences the standard logger: the ring and the
+// HTTP client write to it, and it would write to standard error on their callers' goroutines.
 func New(out io.Writer, gateway string) *Writer {
 	signal.Ignore(syscall.SIGPIPE)
+	log.SetOutput(io.Discard)
 	s := &sink{out: out, gateway: gateway}
 	dropped := func(lines int) { s.dropped.Add(int64(lines)) }
 	return &Writer{ring: diode.NewWriter(s, maxLines, 0, dropped), sink: s}
--- a/internal/asynclog/asynclog_test.go
+++ b/internal/asynclog/asynclog_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"os"
 	"strings"
 	"sync"
@@ -36,17 +38,17 @@
 // A reader of the log that stalls holds up nobody who logs: lines are dropped and counted, and the rest come in order.
 func TestStalledReaderCostsLinesAndNoTime(t *testing.T) {
 	const lines = 3 * maxLines
-	log := newStallingLog()
-	w := New(log, "g")
+	stalled := newStallingLog()
+	w := New(stalled, "g")
 	for i := range lines {
 		if i == 1 {
-			<-log.started
+			<-stalled.started
 		}
 		_, _ = fmt.Fprintf(w, "%d\n", i)
 	}
-	close(log.resume)
+	close(stalled.resume)
 	w.Close(testTimeout)
-	written := strings.Split(strings.TrimSpace(log.lines.String()), "\n")
+	written := strings.Split(strings.TrimSpace(stalled.lines.String()), "\n")
 	last, count, dropped := -1, 0, 0
 	for _, line := range written {
 		var report struct {
@@ -71,14 +73,14 @@
 
 // A stalled reader holds up the end of the program no longer than the timeout.
 func TestCloseDoesNotWaitForAStalledReader(t *testing.T) {
-	log := newStallingLog()
-	w := New(log, "g")
+	stalled := newStallingLog()
+	w := New(stalled, "g")
 	_, _ = w.Write([]byte("line\n"))
-	<-log.started
+	<-stalled.started
 	if w.Close(time.Millisecond) {
 		t.Error("a line that was not written counts as written")
 	}
-	close(log.resume)
+	close(stalled.resume)
 }
 
 // brokenLog fails until it has a reader again.
@@ -97,20 +99,42 @@
 
 // Lines that a log without a reader could not take are counted, and reported to the next reader.
 func TestLinesLostWithTheReaderAreReported(t *testing.T) {
-	log := &brokenLog{failures: 2} // a line, and the report at the next line
-	w := New(log, "g")
+	broken := &brokenLog{failures: 2} // a line, and the report at the next line
+	w := New(broken, "g")
 	for _, line := range []string{"a\n", "b\n", "c\n", "d\n"} {
 		_, _ = w.Write([]byte(line))
 	}
 	if !w.Close(testTimeout) {
 		t.Error("not flushed")
 	}
-	got := log.lines.String()
+	got := broken.lines.String()
 	if !strings.HasSuffix(got, "c\nd\n") || !strings.Contains(got, `"gateway":"g","lines":2`) || !strings.Contains(got, DroppedMessage) {
 		t.Errorf("the log has %s", got)
 	}
 }
 
+// The ring reports collisions of its writer and its reader by the standard logger, which writes to standard error on the
+// caller's goroutine: a reader that stalls would stop the caller after all.
+func TestRingDoesNotWriteToStandardError(t *testing.T) {
+	var written bytes.Buffer
+	log.SetOutput(&written)
+	t.Cleanup(func() { log.SetOutput(os.Stderr) })
+	w := New(io.Discard, "g")
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for range 300 * maxLines {
+				_, _ = w.Write([]byte("line\n"))
+			}
+		})
+	}
+	writers.Wait()
+	w.Close(testTimeout)
+	if written.Len() > 0 {
+		t.Errorf("standard error got %q...", written.String()[:60])
+	}
+}
+
 // BenchmarkWrite measures a line as the caller sees it, beside a write of the same line without the ring.
 func BenchmarkWrite(b *testing.B) {
 	line := []byte(strings.Repeat("x", 200) + "\n")
