app: count the kill from the drain delay in force, as tests set it

Cause: tests that replace the drain delay to be independent of time got the end of the shutdown after 3.7 s all the same, which a busy machine can reach. Change: the kill is reckoned from the server's drain delay; the program's own is as it was. Result: the tests of the shutdown pass.

--- a/internal/app/lifecycle.go
+++ b/internal/app/lifecycle.go
@@ -82,7 +82,7 @@
 	s.draining = true
 	s.log.Info().Int("in_flight", s.gateway.InFlight()).Int64("unsent_bytes", s.frontend.UnsentBytes()).Msg("app: draining")
 	now := s.loop.Now()
-	killAt := now + drainDelay + min(s.conf.LongestDeadline, maxCountedDeadline)
+	killAt := now + s.drainDelay + min(s.conf.LongestDeadline, maxCountedDeadline)
 	s.gateway.Shutdown(killAt - answerMargin)
 	s.loop.CallAt(now+s.drainDelay, s.stopAccepting)
 	s.loop.CallAt(killAt-answerMargin, s.frontend.CloseRemaining)
