Soak: the defect of held connections waits until the gateway has accepted them

Cause: the connections that the defect holds were accepted by the system, not yet by the gateway, when its descriptors were first counted. Change: the defect waits for the gateway's answer to their startups; the check and its bound are as they were.

--- a/internal/lab/restartsoak/play.go
+++ b/internal/lab/restartsoak/play.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"cloverrock/internal/pgwire"
 )
 
 // play restarts the gateway under load, and ends it.
@@ -102,6 +104,17 @@
 	return idle
 }
 
+// awaitAccepted waits until the gateway has accepted connections, and not the system alone: it answers their startup.
+func awaitAccepted(conns []net.Conn) {
+	startup := pgwire.AppendStartup(nil, "user", "soak", "database", "soak")
+	for _, conn := range conns {
+		_ = conn.SetDeadline(time.Now().Add(dialTimeout)) // fails only on a closed connection, as what follows
+		if _, err := conn.Write(startup); err == nil {
+			_, _ = conn.Read(make([]byte, 1))
+		}
+	}
+}
+
 func closeAll(conns []net.Conn) {
 	for _, conn := range conns {
 		_ = conn.Close() // the gateway may have closed it
@@ -182,7 +195,9 @@
 // checkDescriptors wants the descriptors of all clients to be free, once these are gone.
 func (r *run) checkDescriptors(ctx context.Context, p *process) {
 	if r.defect == DefectHeld {
-		defer closeAll(r.openIdle(heldConnections))
+		held := r.openIdle(heldConnections)
+		defer closeAll(held)
+		awaitAccepted(held)
 	}
 	const ownDescriptors = 16 // standard streams, log, event loop, listener, discovery, timers
 	open := 0
