Review: two further scenarios that break a rule, beside the three cases

memory: clients that stop in the middle of a request push out one that is owed answers. learned: a gateway that comes back while discovery is down takes the addresses of hosts from another gateway's list in the store; where an address leads each gateway to another host, every request runs in a group that it does not name.

--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,6 +32,7 @@
 // agent is discovery's agent at one gateway. It holds the list and all of its changes.
 type agent struct {
 	address  string
+	silent   atomic.Bool // discovery is down: the agent says nothing
 	mu       sync.Mutex
 	changed  chan struct{} // closed at each change
 	base     list          // complete, at its generation
@@ -115,6 +117,13 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	for a.silent.Load() {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
 	w.Header().Set("Content-Type", "application/json")
 	encoder := json.NewEncoder(w)
 	if r.URL.Query().Get("stream") == "" {
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -29,12 +29,22 @@
 	gateways           []*gateway
 }
 
-// newRig prepares a case. The folder is that of the case, two levels below the root.
+// newRig prepares a case. The root is the folder above that of the case that has the deploy file.
 func newRig(folder string) (*rig, error) {
 	folder, err := filepath.Abs(folder)
 	if err != nil {
 		return nil, err
 	}
+	root := folder
+	for {
+		if _, err := os.Stat(filepath.Join(root, "deploy", "balancer.toml")); err == nil {
+			break
+		}
+		if root == filepath.Dir(root) {
+			return nil, errors.New("no deploy file above the case")
+		}
+		root = filepath.Dir(root)
+	}
 	rec, err := newRecord(folder)
 	if err != nil {
 		return nil, err
@@ -45,7 +55,11 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.line("disruption: %v", trouble)
-	return &rig{root: filepath.Dir(filepath.Dir(folder)), folder: folder, temp: temp, rec: rec, trouble: trouble}, nil
+	old, _ := filepath.Glob(filepath.Join(folder, "gateway-*.log"))
+	for _, path := range old {
+		_ = os.Remove(path)
+	}
+	return &rig{root: root, folder: folder, temp: temp, rec: rec, trouble: trouble}, nil
 }
 
 func (r *rig) close() {
@@ -96,8 +110,8 @@
 	return conf, nil
 }
 
-// startGateway starts a gateway and waits until it answers an empty query.
-func (r *rig) startGateway(name, discovery string, conf map[string]any) (*gateway, error) {
+// startGateway starts a gateway and waits until it answers an empty query. The environment gets further variables.
+func (r *rig) startGateway(name, discovery string, conf map[string]any, environment ...string) (*gateway, error) {
 	listen, err := freeAddress()
 	if err != nil {
 		return nil, err
@@ -118,7 +132,8 @@
 		return nil, err
 	}
 	g := &gateway{name: name, listen: listen, ended: make(chan struct{})}
-	g.log, err = os.Create(filepath.Join(r.folder, "gateway-"+name+".log"))
+	logPath := filepath.Join(r.folder, "gateway-"+name+".log")
+	g.log, err = os.OpenFile(logPath, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return nil, err
 	}
@@ -126,6 +141,7 @@
 	g.cmd.Dir = r.root
 	g.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path, "EDGE_NAME="+name, "EDGE_LISTEN="+listen,
 		"EDGE_DISCOVERY="+discovery, "TMPDIR="+r.temp)
+	g.cmd.Env = append(g.cmd.Env, environment...)
 	g.cmd.Stdout = g.log
 	g.cmd.Stderr = g.log
 	if err := g.cmd.Start(); err != nil {
