--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -32,6 +32,7 @@
 // agent is discovery's agent at one gateway. It holds the list and all of its changes.
 type agent struct {
 	address  string
+	watched  func(int64) // called with 1 and -1 as a watch begins and ends; may be nil
 	silent   atomic.Bool // discovery is down: the agent says nothing
 	mu       sync.Mutex
 	changed  chan struct{} // closed at each change
@@ -130,6 +131,10 @@
 		_ = encoder.Encode(a.complete())
 		return
 	}
+	if a.watched != nil {
+		a.watched(1)
+		defer a.watched(-1)
+	}
 	flush := w.(http.Flusher).Flush
 	generation, _ := strconv.ParseInt(r.URL.Query().Get("index"), 10, 64)
 	for {
--- a/review/standin/foreign.go
+++ b/review/standin/foreign.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,32 +13,46 @@
 
 // The case "foreign": some answers of the database hosts bring a second copy right behind them, when nothing else waits
 // on the connection. Messages arrive in pieces: the copy a moment after the answer. Each client has an object of its own
-// and must never be served a value that was made for another request.
+// and must never be served a value that was made for another request. With PIECES=0 nothing is delayed: a host writes the
+// answer and then at once the copy; the values are larger, and copies and clients more.
 
 const (
-	copyEvery      = 50                   // one answer in so many brings a second copy
-	fullEvery      = 10                   // one write in so many finds the queue of its host full
-	pieceGap       = 1 * time.Millisecond // between two pieces
-	foreignClients = 16
-	foreignFor     = 20 * time.Second
-	foreignMost    = 1000 // requests of a client at the most
+	pieceGap    = 1 * time.Millisecond // between two writes of a host, as they arrive
+	fullEvery   = 10                   // one write in so many finds the queue of its host full
+	foreignFor  = 20 * time.Second
+	foreignMost = 1000 // requests of a client at the most
 )
 
+// load is what depends on PIECES.
+type load struct {
+	clients, valueSize int
+	copyEvery          int64 // one answer in so many brings a second copy
+	gap                time.Duration
+}
+
+func foreignLoad() load {
+	if os.Getenv("PIECES") == "0" {
+		return load{clients: 40, valueSize: 60000, copyEvery: 5}
+	}
+	return load{clients: 16, valueSize: 0, copyEvery: 50, gap: pieceGap}
+}
+
 func init() { cases["foreign"] = foreignCase }
 
 // tally counts the final answers of all clients.
 type tally struct{ served, foreign, refused, failed, lost, copies atomic.Int64 }
 
 func foreignCase(r *rig) (int, error) {
+	load := foreignLoad()
 	hosts, g := startGroup(r.rec, "db1", "db2", "db3")
 	count := &tally{}
 	var answers, writes atomic.Int64
 	for _, h := range hosts {
 		h.work = func(*statement) time.Duration { return 50 * time.Millisecond }
-		h.pieceGap = pieceGap
+		h.pieceGap = load.gap
 		h.full = func(s *statement) bool { return s.write && writes.Add(1)%fullEvery == 0 }
 		h.after = func(s *statement, answer []byte) []byte {
-			if !r.trouble || answers.Add(1)%copyEvery != 0 {
+			if !r.trouble || answers.Add(1)%load.copyEvery != 0 {
 				return nil
 			}
 			count.copies.Add(1)
@@ -62,10 +77,10 @@
 		return 0, err
 	}
 	end := time.Now().Add(foreignFor)
-	errs := make([]error, foreignClients)
+	errs := make([]error, load.clients)
 	var wg sync.WaitGroup
-	for i := range foreignClients {
-		wg.Go(func() { errs[i] = foreignClient(r, gw.listen, i, end, count) })
+	for i := range load.clients {
+		wg.Go(func() { errs[i] = foreignClient(r, gw.listen, i, end, count, load.valueSize) })
 	}
 	wg.Wait()
 	for _, err := range errs {
@@ -76,7 +91,7 @@
 	r.rec.say("served %d, of these with a value made for another request: %d; refused %d, failed %d, connections ended %d; second copies sent %d",
 		count.served.Load(), count.foreign.Load(), count.refused.Load(), count.failed.Load(), count.lost.Load(), count.copies.Load())
 	twice := 0
-	for i := range foreignClients {
+	for i := range load.clients {
 		for k := range foreignMost {
 			id := fmt.Sprintf("q%d-%d", i, k)
 			if ran := runs(hosts, id); ran > 1 && k%2 == 0 {
@@ -107,16 +122,17 @@
 }
 
 // foreignClient writes and reads its own object, one request after another.
-func foreignClient(r *rig, address string, number int, end time.Time, count *tally) error {
+func foreignClient(r *rig, address string, number int, end time.Time, count *tally, valueSize int) error {
 	c, err := dialClient(address)
 	if err != nil {
 		return err
 	}
 	defer func() { c.close() }()
 	oid := "obj" + strconv.Itoa(number)
+	filler := bytes.Repeat([]byte{'x'}, valueSize)
 	for k := 0; k < foreignMost && time.Now().Before(end); k++ {
 		id := fmt.Sprintf("q%d-%d", number, k)
-		value := []byte(oid + ":" + id)
+		value := append([]byte(oid+":"+id+":"), filler...)
 		isWrite := k%2 == 0
 		text := readText(id, "zone-lookup", oid, 750, 1, 0)
 		if isWrite {
