--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 		return exitNotRun
 	}
 	defer r.close()
+	signal.Ignore(syscall.SIGPIPE) // the processes are ended even if nobody reads the output
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
