--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,18 +14,22 @@
 // owed a final answer.
 
 const (
-	leaveMemoryMB  = 32                     // of the settings: the operators' pages name 32 to 192 MB
-	leavingClients = 400                    // clients that leave
-	leavingAtOnce  = 20                     // of these at a time
-	leaveAfter     = 20 * time.Millisecond  // from the last byte of the request to the close
-	leavePause     = 500 * time.Millisecond // between two bursts
-	quietTime      = 5 * time.Second        // between the last of them and the next request
-	soundClients   = 20                     // after that, one after another
-	soundPause     = 100 * time.Millisecond // between two of them
+	leaveMemoryMB = 32                     // of the settings: the operators' pages name 32 to 192 MB
+	leaveAfter    = 20 * time.Millisecond  // from the last byte of the request to the close
+	leavePause    = 500 * time.Millisecond // between two clients that leave, under the usual load
+	burstPause    = 50 * time.Millisecond  // between two in the burst
+	usualClients  = 20                     // of the usual load
+	usualFor      = 25 * time.Second
+	leaveShare    = 0.01            // of all requests, at the most
+	quietTime     = 5 * time.Second // between the last of them and the next request
+	soundClients  = 20              // after that, one after another
+	soundPause    = 100 * time.Millisecond
 )
 
-// leavingValues are the sizes of the values that the clients that leave write in turn, in bytes; 0: a read.
-var leavingValues = []int{64 << 10, 16 << 10, 4 << 10, 1 << 10, 0}
+// leaving says how many clients leave with a write of a value of so many bytes; 0: a read.
+var leaving = []struct{ clients, size int }{
+	{33, 64 << 10}, {4, 16 << 10}, {2, 8 << 10}, {2, 4 << 10}, {2, 2 << 10}, {2, 1 << 10}, {2, 512}, {2, 256}, {2, 128}, {6, 0},
+}
 
 func init() { cases["leave"] = leaveCase }
 
@@ -58,9 +63,14 @@
 	if before.unanswered > 0 {
 		return 0, errors.New("requests before the disruption were not answered")
 	}
-	if err := leaveAll(r, gw.listen); err != nil {
+	left, usual, err := leaveAll(r, gw.listen)
+	if err != nil {
 		return 0, err
 	}
+	r.rec.say("requests of the usual load: %d; clients that leave: %d", usual, left)
+	if float64(left) > leaveShare*float64(usual) {
+		return 0, errors.New("the usual load was too small for so many clients that leave")
+	}
 	time.Sleep(quietTime)
 	after, err := soundRequests(r, gw.listen, "after")
 	if err != nil {
@@ -74,47 +84,85 @@
 	return exitHeld, nil
 }
 
-// leaveAll plays the clients that leave. Without the disruption they wait for their answers before they close.
-func leaveAll(r *rig, address string) error {
-	for from := 0; from < leavingClients; from += leavingAtOnce {
-		var wg sync.WaitGroup
-		errs := make([]error, leavingAtOnce)
-		for i := range leavingAtOnce {
-			wg.Go(func() {
-				id := fmt.Sprintf("leave%d", from+i)
-				c, err := dialClient(address)
-				if err != nil {
-					errs[i] = err
-					return
-				}
-				defer c.close()
-				size := leavingValues[(from+i)%len(leavingValues)]
-				text := readText(id, "zone-lookup", "oid"+id, 750, 1, 0)
-				if size > 0 {
-					text = writeText(id, "zone-change", "oid"+id, bytes.Repeat([]byte{'v'}, size), 3000, 1)
-				}
-				if err := c.send(text); err != nil {
-					r.rec.line("client %s: %v", id, err)
-					return
-				}
-				if !r.trouble {
-					answer, err := c.receive(4 * time.Second)
-					r.rec.line("client %s: %v %v", id, answer, err)
-					return
-				}
-				time.Sleep(leaveAfter)
-				r.rec.line("client %s: sent a request of %d bytes, leaves after %v", id, len(text), leaveAfter)
-			})
+// leaveAll plays the usual load, and the clients that leave: those with the largest values beside the load, the others in a
+// burst after it. It returns the number of both.
+func leaveAll(r *rig, address string) (left int, usual int64, err error) {
+	var requests atomic.Int64
+	var wg sync.WaitGroup
+	end := time.Now().Add(usualFor)
+	for i := range usualClients {
+		wg.Go(func() { usualClient(r, address, i, end, &requests) })
+	}
+	for k, group := range leaving {
+		if k == 1 {
+			wg.Wait()
 		}
-		wg.Wait()
-		if err := errors.Join(errs...); err != nil {
-			return err
+		for range group.clients {
+			if err := leave(r, address, fmt.Sprintf("leave%d", left), group.size); err != nil {
+				return left, 0, err
+			}
+			left++
+			if k == 0 {
+				time.Sleep(leavePause)
+			} else {
+				time.Sleep(burstPause)
+			}
 		}
-		time.Sleep(leavePause)
 	}
+	return left, requests.Load(), nil
+}
+
+// leave plays one client that leaves. Without the disruption it waits for its answer before it closes.
+func leave(r *rig, address, id string, size int) error {
+	c, err := dialClient(address)
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	text := readText(id, "zone-lookup", "oid"+id, 750, 1, 0)
+	if size > 0 {
+		text = writeText(id, "zone-change", "oid"+id, bytes.Repeat([]byte{'v'}, size), 3000, 1)
+	}
+	if err := c.send(text); err != nil {
+		r.rec.line("client %s: %v", id, err)
+		return nil
+	}
+	if !r.trouble {
+		answer, err := c.receive(4 * time.Second)
+		r.rec.line("client %s: %v %v", id, answer, err)
+		return nil
+	}
+	time.Sleep(leaveAfter)
+	r.rec.line("client %s: sent a request of %d bytes, leaves after %v", id, len(text), leaveAfter)
 	return nil
 }
 
+// usualClient reads, one request after another.
+func usualClient(r *rig, address string, number int, end time.Time, requests *atomic.Int64) {
+	var c *client
+	for k := 0; time.Now().Before(end); k++ {
+		if c == nil {
+			var err error
+			if c, err = dialClient(address); err != nil {
+				c = nil
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+		}
+		id := fmt.Sprintf("usual%d-%d", number, k)
+		requests.Add(1)
+		answer, err := c.query(readText(id, "zone-lookup", "x", 750, 1, 0), 4*time.Second)
+		if err != nil || answer.fatal {
+			r.rec.line("client of the usual load: %s: %v %v", id, answer, err)
+			c.close()
+			c = nil
+		}
+	}
+	if c != nil {
+		c.close()
+	}
+}
+
 // outcome counts the final answers of sound clients.
 type outcome struct{ served, refused, failed, unanswered int }
 
--- a/review/standin/stale.go
+++ b/review/standin/stale.go
@@ -76,7 +76,7 @@
 }
 
 func (s *staleRig) start() error {
-	s.hosts, s.group = startGroup(s.rec, "db1", "db2", "db3")
+	s.hosts, s.group = startGroup(s.rec, "db1", "db2", "db3", "db4", "db5", "db6")
 	first := s.hosts[0]
 	first.hanging = func() bool {
 		now := nowMS()
