frontend: a client that is ended at the memory limit is logged, with what is held

Need: at the limit a client gets 08P01 "too much sent ahead of the answers", the same text as for too many pipelined commands, and nothing is logged.

Change: one warning with the bytes held, the limit, those of the client that is ended and the number of clients; bursts of 20 a second, as for hosts.

--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -26,8 +26,9 @@
 	// activeClientsDivisor divides the number of all descriptors. The quotient limits the clients that have sent a
 	// request: if there are more of them, idle ones are closed.
 	activeClientsDivisor = 4
-	// maxBackendLogLines limits the log lines about hosts per second, so that a failing host does not fill the log.
-	maxBackendLogLines = 20
+	// maxConnectionLogLines limits the log lines per second about the connections of hosts, and of clients, so that a
+	// failing host or a crowd of clients does not fill the log.
+	maxConnectionLogLines = 20
 )
 
 // Parts of the memory limit.
@@ -98,13 +99,13 @@
 		Bytes:             memoryBytes(conf) / clientBytesDivisor,
 		MessageTimeout:    t.message,
 		IdleTimeout:       t.idle,
-	})
+	}, connectionLog(log))
 	s.pool = backend.New(loop, s.gateway, backend.Limits{
 		DialTimeout: conf.Settings.DialTimeout,
 		IdleClose:   conf.IdleClose,
 		Connections: maxHosts,
 		Bytes:       memoryBytes(conf) / backendAnswersDivisor,
-	}, log.Sample(&zerolog.BurstSampler{Burst: maxBackendLogLines, Period: time.Second}))
+	}, connectionLog(log))
 
 	pollsFirst := s.pollsBeforeKnownList(t)
 	s.watch = s.newWatch(pollsFirst)
@@ -124,6 +125,11 @@
 	return s, nil
 }
 
+// connectionLog returns a log that writes at most maxConnectionLogLines per second.
+func connectionLog(log zerolog.Logger) zerolog.Logger {
+	return log.Sample(&zerolog.BurstSampler{Burst: maxConnectionLogLines, Period: time.Second})
+}
+
 // limitRuntime limits the Go runtime's memory, and limits it to one thread unless a component runs in the process.
 func limitRuntime(conf *config.Config, withComponent bool) {
 	if !withComponent {
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -149,7 +149,10 @@
 			largest = c
 		}
 	}
-	if largest != nil {
-		largest.rejectExcessInput()
+	if largest == nil {
+		return
 	}
+	s.log.Warn().Int("held_bytes", s.heldBytes).Int("limit_bytes", s.limits.Bytes).Int("client_bytes", largest.heldBytes).
+		Int("clients", len(s.clients)).Msg("frontend: memory limit reached, client with the most bytes ended")
+	largest.rejectExcessInput()
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -6,6 +6,8 @@
 import (
 	"container/list"
 
+	"github.com/rs/zerolog"
+
 	"cloverrock/internal/eventloop"
 	"cloverrock/internal/gateway"
 	"cloverrock/internal/pgwire"
@@ -43,6 +45,7 @@
 	gateway Gateway
 	classes map[string]Class
 	limits  Limits
+	log     zerolog.Logger
 
 	clients       map[*client]struct{}
 	activeClients int // clients that have sent a request
@@ -61,9 +64,11 @@
 }
 
 // New returns a server without clients.
-func New(loop *eventloop.Loop, gw Gateway, classes map[string]Class, limits Limits) *Server {
+func New(
+	loop *eventloop.Loop, gw Gateway, classes map[string]Class, limits Limits, log zerolog.Logger,
+) *Server {
 	s := &Server{
-		loop: loop, gateway: gw, classes: classes, limits: limits,
+		loop: loop, gateway: gw, classes: classes, limits: limits, log: log,
 		clients:    map[*client]struct{}{},
 		newClients: list.New(), idleClients: list.New(), lingeringClients: list.New(),
 		cancelKeys: map[uint32]*client{}, openRequestIDs: map[string]struct{}{},
--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -42,7 +42,7 @@
 	requests := make(acceptedRequests, 2)
 	classes := map[string]Class{"look": {Deadline: testTimeout.Microseconds()}}
 	limits := Limits{Connections: 4, ActiveConnections: 4, Bytes: 1 << 20, MessageTimeout: 3600e6, IdleTimeout: 3600e6}
-	server := New(loop, requests, classes, limits)
+	server := New(loop, requests, classes, limits, zerolog.Nop())
 	if err := loop.Start("127.0.0.1:0", 4, server.Accept); err != nil {
 		t.Fatal(err)
 	}
