frontend: bytes of a request are no longer counted once its client has left

Cause: when a connection ended, its held bytes were counted anew before its request in flight was given up, so the bytes of that request stayed in the total of all clients for good. At the memory limit each byte that arrives ends the client that holds most, however little that is.

Change: clearRequest, which ends every request however it ends, renews the count itself. The order in which a connection is taken down does not matter now.

--- /dev/null
+++ b/internal/frontend/memory_test.go
@@ -0,0 +1,52 @@
+package frontend
+
+import (
+	"net"
+	"testing"
+
+	"cloverrock/internal/pgwire"
+)
+
+// maxValue is the size of the largest values that the protocol allows, in bytes.
+const maxValue = 64 << 10
+
+// The bytes of requests whose clients had left stayed counted against the memory limit, and at the limit no client was
+// served any more.
+func TestClientsThatLeaveFreeTheirMemory(t *testing.T) {
+	loop, server, requests, peer := startServer(t)
+	startup := pgwire.AppendStartup(nil, "user", "worker")
+	request := appendSizedQuery(nil, 1, maxValue)
+	pipelined := appendSizedQuery(appendSizedQuery(nil, 1, maxValue), 2, maxValue)
+	leave := map[string]struct {
+		sent []byte
+		end  func(net.Conn) error
+	}{
+		"with a request in flight":     {request, net.Conn.Close},
+		"with a request behind it":     {pipelined, net.Conn.Close},
+		"within the next message":      {pipelined[:len(pipelined)-1], net.Conn.Close},
+		"by closing only their side":   {request, func(c net.Conn) error { return c.(*net.TCPConn).CloseWrite() }},
+		"by Terminate after a request": {pgwire.AppendTerminate(request), net.Conn.Close},
+	}
+	for left := 0; left < 2*server.limits.Bytes; {
+		for _, client := range leave {
+			writeAll(t, peer, append(startup, client.sent...))
+			requests.next(t)
+			if err := client.end(peer); err != nil {
+				t.Fatal(err)
+			}
+			for connected := 1; connected > 0; {
+				onLoop(loop, func() { connected = len(server.clients) })
+			}
+			left += len(client.sent)
+			peer = connect(t, loop)
+		}
+	}
+	onLoop(loop, func() {
+		if server.heldBytes != 0 || server.activeClients != 0 || len(server.openRequestIDs) != 0 {
+			t.Errorf("%d bytes, %d active clients and %d request ids are counted without a client, want none",
+				server.heldBytes, server.activeClients, len(server.openRequestIDs))
+		}
+	})
+	writeAll(t, peer, append(startup, appendLookQuery(nil, 1)...))
+	requests.next(t)
+}
--- a/internal/frontend/pipeline.go
+++ b/internal/frontend/pipeline.go
@@ -166,6 +166,7 @@
 func (c *client) clearRequest() {
 	c.awaitingAnswer = false
 	c.requestBytes = 0
+	c.updateHeldBytes()
 	delete(c.server.openRequestIDs, c.clientRequestID)
 }
 
--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,6 +49,12 @@
 	}
 	go loop.Run()
 	t.Cleanup(loop.Close)
+	return loop, server, requests, connect(t, loop)
+}
+
+// connect opens a client's connection.
+func connect(t *testing.T, loop *eventloop.Loop) net.Conn {
+	t.Helper()
 	peer, err := net.Dial("tcp4", loop.Address())
 	if err != nil {
 		t.Fatal(err)
@@ -56,11 +63,29 @@
 	if err := peer.SetDeadline(time.Now().Add(testTimeout)); err != nil {
 		t.Fatal(err)
 	}
-	return loop, server, requests, peer
+	return peer
 }
 
-func appendLookQuery(b []byte, id int) []byte {
-	return pgwire.AppendQuery(b, fmt.Sprintf("/* id=%d,c=look,d=9000,cluster=1 */ SELECT body FROM objects WHERE oid = 'k'", id))
+func writeAll(t *testing.T, peer net.Conn, b []byte) {
+	t.Helper()
+	if _, err := peer.Write(b); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// onLoop runs f on the loop's goroutine and waits until it has returned.
+func onLoop(loop *eventloop.Loop, f func()) {
+	done := make(chan struct{})
+	loop.Post(func() { f(); close(done) })
+	<-done
+}
+
+func appendLookQuery(b []byte, id int) []byte { return appendSizedQuery(b, id, 1) }
+
+// appendSizedQuery appends a query whose text has at least the given number of bytes.
+func appendSizedQuery(b []byte, id, size int) []byte {
+	const format = "/* id=%d,c=look,d=9000,cluster=1 */ SELECT body FROM objects WHERE oid = '%s'"
+	return pgwire.AppendQuery(b, fmt.Sprintf(format, id, strings.Repeat("k", size)))
 }
 
 func serveValue(c gateway.Client, value string) {
