frontend: commands of a pipeline that are answered are no longer counted as held

Found by reading, not seen in service; by the test, a client that sends rejected statements ahead of its requests counts for more than it holds, and may be ended at the memory limit.

Cause: queued commands were counted when data arrived and when the pipeline was empty. A command that the gateway answers itself left the pipeline without that, and its text stayed in memory with the queue's first elements.

Change: processPipeline renews the count after the commands it has executed, and takeCommand clears what it takes.

--- a/internal/frontend/memory_test.go
+++ b/internal/frontend/memory_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"slices"
+	"strings"
 	"testing"
 
 	"cloverrock/internal/pgwire"
@@ -50,3 +52,29 @@
 	writeAll(t, peer, append(startup, appendLookQuery(nil, 1)...))
 	requests.next(t)
 }
+
+// Commands that the gateway had answered itself stayed counted until the requests behind them in the pipeline were
+// answered. At the memory limit their client was ended although it held little.
+func TestAnsweredCommandsOfAPipelineAreNotCounted(t *testing.T) {
+	loop, server, requests, peer := startServer(t)
+	writeAll(t, peer, appendLookQuery(pgwire.AppendStartup(nil, "user", "worker"), 1))
+	c := requests.next(t)
+	onLoop(loop, func() { serveValue(c, "v") })
+	rejected := pgwire.AppendQuery(nil, "no request "+strings.Repeat("k", maxValue))
+	first := appendSizedQuery(nil, 2, maxValue)
+	last := appendSizedQuery(nil, 3, maxValue/2)
+	const header = 5 // bytes of a message before its text
+	onLoop(loop, func() {
+		c.Data(slices.Concat(rejected, first, last)) // as if received from the socket
+		if want := len(first) + len(last) - 2*header; server.heldBytes != want {
+			t.Errorf("%d bytes are counted behind a rejected command, want %d", server.heldBytes, want)
+		}
+	})
+	requests.next(t)
+	onLoop(loop, func() {
+		serveValue(c, "v")
+		if want := len(last) - header; server.heldBytes != want {
+			t.Errorf("%d bytes are counted behind an answered request, want %d", server.heldBytes, want)
+		}
+	})
+}
--- a/internal/frontend/pipeline.go
+++ b/internal/frontend/pipeline.go
@@ -29,21 +29,23 @@
 	for !c.awaitingAnswer && !c.closed && len(c.pipeline) > 0 {
 		if c.conn.UnsentBytes() > maxUnsent {
 			c.retryLater(c.processPipeline)
-			return
+			break
 		}
-		cmd := c.pipeline[0]
+		cmd := c.takeCommand()
 		if cmd.err != nil {
 			c.failConnection(pgwire.CodeProtocolViolation, cmd.err.Error())
 			return
 		}
-		c.pipeline = c.pipeline[1:]
 		c.execute(cmd)
 	}
-	if c.closed || c.awaitingAnswer || c.terminated {
+	if c.closed {
 		return
 	}
-	c.pipeline = nil
 	c.updateHeldBytes()
+	if c.awaitingAnswer || c.terminated || len(c.pipeline) > 0 {
+		return
+	}
+	c.pipeline = nil
 	if c.server.shuttingDown && len(c.partial) == 0 {
 		c.closeWhenFlushed()
 		return
@@ -51,6 +53,14 @@
 	c.markIdle() // even with an incomplete message, which is no request yet
 }
 
+// takeCommand removes and returns the first queued command.
+func (c *client) takeCommand() command {
+	cmd := c.pipeline[0]
+	c.pipeline[0] = command{} // frees the text once the command is executed, not only at the end of the pipeline
+	c.pipeline = c.pipeline[1:]
+	return cmd
+}
+
 func (c *client) execute(cmd command) {
 	if c.skipUntilSync && cmd.kind != pgwire.MsgSync && cmd.kind != pgwire.MsgTerminate {
 		return
