balance: a read is checked again by role and position just before it is written

Cause: AttemptStillValid, the last check before the first byte, looked at positions for reads with bounded staleness only, and at no roles. While a connection opens, the router may learn that the host is a replica, or that another member is the primary.

Change: mayAnswer decides by role and position, for every kind of read; isAssumedPrimary serves it and the decision.

--- a/balance/primary.go
+++ b/balance/primary.go
@@ -172,7 +172,7 @@
 // because it is the next one in the order of ids does not qualify: its data may be of any age.
 func (r *Router) primaryForRead(req *pendingRequest) *hostState {
 	host := req.group.primary
-	if host == nil || !host.wasPrimary || host.role == Replica || !r.admits(req, host) {
+	if host == nil || !host.isAssumedPrimary() || !r.admits(req, host) {
 		return nil
 	}
 	return host
--- a/balance/replicas.go
+++ b/balance/replicas.go
@@ -29,7 +29,7 @@
 	}
 	var (
 		group            = req.group
-		minPosition      = r.minPosition(req)
+		minPosition      = r.minPosition(req, r.now)
 		isLong           = r.isLongRead(req)
 		longReadHosts    = r.longReadHosts(group)
 		draw             replicaDraw
@@ -65,18 +65,6 @@
 	return r.primaryOrWait(req, minPosition, freshReplicaBusy)
 }
 
-// minPosition returns the log position that a host must have applied to answer a read; 0 if any will do.
-func (r *Router) minPosition(req *pendingRequest) int64 {
-	switch req.class.Consistency {
-	case BoundedStaleness:
-		return r.now - req.class.MaxStaleness
-	case ReadYourWrites:
-		return req.minPosition
-	default:
-		return 0
-	}
-}
-
 // longReadHosts returns the number of members that long reads go to. It grows with the part of all work
 // that is long reads, is at least 1, and leaves out the primary and one replica. A long read may keep its
 // host from applying the log, so long reads on all replicas would leave none of them fresh.
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -41,24 +41,6 @@
 	return now+r.maintenanceInterval() >= req.executedAt+req.class.DeduplicationWindow
 }
 
-// AttemptStillValid reports whether the attempt in flight of a request may still be written. Call it just
-// before the first byte is written: while the connection was opened, the host may have been excluded, or
-// its known position may have become too old. Report an attempt that is not valid as NotSent; the router
-// then retries or ends the request.
-func (r *Router) AttemptStillValid(now int64, id int64) bool {
-	req := r.requests[id]
-	if req == nil || req.finished || req.host == nil || req.host.excluded {
-		return false
-	}
-	if now >= min(req.deadline, r.shutdownDeadline) || r.deduplicationLapsed(req, now) {
-		return false
-	}
-	if req.class.Consistency != BoundedStaleness || r.settings.HostsCheckStaleness || req.host.wasPrimary {
-		return true
-	}
-	return req.host.position >= now-req.class.MaxStaleness
-}
-
 // handleClientDisconnected ends a request whose client has disconnected.
 func (r *Router) handleClientDisconnected(event *Event) {
 	req := r.requests[event.Request]
--- a/balance/retry_test.go
+++ b/balance/retry_test.go
@@ -137,3 +137,46 @@
 		t.Error("an unknown request is valid")
 	}
 }
+
+// A read that was decided for the primary was written to it although the router had learned meanwhile that it
+// is a replica, and was served data from before its session's write.
+func TestReadIsNotWrittenToAFormerPrimary(t *testing.T) {
+	const lag = 5000 * ms // of the replicas, so that reads go to the primary
+	for evidence, learn := range map[string]func(rig *routerRig){
+		"its answer": func(rig *routerRig) {
+			write, _ := rig.request(unsafeWrite)
+			rig.answer(write, "a", NotPrimary, Replica, 0)
+		},
+		"its report":             func(rig *routerRig) { rig.report("a", false, testStart) },
+		"its successor's report": func(rig *routerRig) { rig.report("b", true, rig.now) },
+	} {
+		for _, class := range []int{boundedRead, sessionRead, linearizableRead} {
+			t.Run(fmt.Sprint(evidence, "/", class), func(t *testing.T) {
+				settings := testSettings()
+				settings.Classes[boundedRead].Deadline *= 4
+				rig := newRig(t, settings, threeHosts()...)
+				rig.reportAll(rig.now - lag)
+				rig.now += 50 * ms
+				id, actions := rig.requestAs(class, 1, 10*ms)
+				for sentTo(actions, id) == "" && rig.now < testStart+lag {
+					actions = rig.advance(20 * ms)
+				}
+				writtenAt := rig.now + 50*ms
+				if class == boundedRead { // until then the position that is known of the primary is fresh enough
+					writtenAt += rig.class(class).MaxStaleness
+				}
+				if sentTo(actions, id) != "a" || !rig.router.AttemptStillValid(writtenAt, id) {
+					t.Fatalf("want the read sent to the primary and valid, got %+v", actions)
+				}
+				rig.now += 20 * ms
+				learn(rig)
+				if rig.router.AttemptStillValid(writtenAt, id) {
+					t.Error("the attempt may be written to a host that is known as a replica")
+				}
+				if actions = rig.answer(id, "a", NotSent, RoleUnknown, 0); sentTo(actions, id) == "a" {
+					t.Error("the read is sent to the former primary again")
+				}
+			})
+		}
+	}
+}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -11,10 +11,11 @@
 // This file passes random events to a router and checks these rules on every action: no attempt goes to an
 // excluded host, a request has one attempt at a time, no unsafe retry is made, no read goes to a host whose
 // known position does not satisfy it, every request gets one final answer in time, and a request is rejected
-// only if trying again is harmless.
+// only if trying again is harmless. An attempt is checked twice: when it is decided, and when it is written,
+// which may be later, since its connection may have to be opened.
 
 func TestRulesHoldUnderRandomEvents(t *testing.T) {
-	for seed := uint64(1); seed <= 30; seed++ {
+	for seed := uint64(1); seed <= 120; seed++ {
 		settings := testSettings()
 		settings.HostsCheckStaleness = seed%3 == 0
 		settings.RequestsCarrySessionAge = seed%5 != 0
@@ -137,7 +138,7 @@
 			c.endHealthCheck()
 		}
 	case 6:
-		if c.draw(40) == 0 {
+		if c.draw(10) == 0 {
 			c.primary = checkedHosts[c.draw(len(checkedHosts))]
 		}
 	case 7:
@@ -206,9 +207,22 @@
 	} else if !isWrite && result == NotPrimary {
 		result = Succeeded
 	}
+	if !c.write(c.inFlight[i]) {
+		result = NotSent
+	}
 	c.endAttempt(i, result)
 }
 
+// write writes an attempt whose connection is open now, unless the router has recalled it, and reports
+// whether it did.
+func (c *ruleChecker) write(attempt checkedAttempt) bool {
+	if !c.rig.router.AttemptStillValid(c.rig.now, attempt.request) {
+		return false
+	}
+	c.checkTarget(attempt.request, attempt.host)
+	return true
+}
+
 func (c *ruleChecker) endAttempt(i int, result Result) {
 	attempt := c.inFlight[i]
 	c.inFlight = slices.Delete(c.inFlight, i, i+1)
@@ -323,23 +337,29 @@
 
 func (c *ruleChecker) checkSend(action *Action) {
 	request := c.requests[action.Request]
-	if request.final {
-		c.failf("sent after the final answer")
-	}
-	if at, drained := c.drainedAt[action.Host]; drained && c.rig.now > at {
-		c.failf("sent to a drained host")
-	}
 	if request.inFlight > 0 {
 		c.failf("two attempts in flight")
 	}
-	c.checkRetry(request)
-	c.checkFreshness(request, action.Host)
+	c.checkTarget(action.Request, action.Host)
 	attempt := checkedAttempt{action.Request, request.attempts, action.Host, c.rig.now}
 	c.inFlight = append(c.inFlight, attempt)
 	request.attempts++
 	request.inFlight++
 }
 
+// checkTarget checks that a request may be sent to a host now.
+func (c *ruleChecker) checkTarget(id int64, host string) {
+	request := c.requests[id]
+	if request.final {
+		c.failf("sent after the final answer")
+	}
+	if at, drained := c.drainedAt[host]; drained && c.rig.now > at {
+		c.failf("sent to a drained host")
+	}
+	c.checkRetry(request)
+	c.checkFreshness(request, host)
+}
+
 func (c *ruleChecker) checkRetry(request *checkedRequest) {
 	if !request.mayHaveExecuted {
 		return
