balance: a write is not written to a host that lost the primary role meanwhile

By the test, a write that waits for a connection is written to the former primary although its answer, its report or its successor's report has told of the change.

Cause: AttemptStillValid took every write, by role unseen.

Change: mayAnswer refuses a write if its host became a replica since the decision or another member is confirmed as primary. Guessed and silent members are still tried.

--- a/balance/retry_test.go
+++ b/balance/retry_test.go
@@ -162,7 +162,7 @@
 					actions = rig.advance(20 * ms)
 				}
 				writtenAt := rig.now + 50*ms
-				if class == boundedRead { // until then the position that is known of the primary is fresh enough
+				if class == boundedRead { // until then the known position of the primary is fresh enough
 					writtenAt += rig.class(class).MaxStaleness
 				}
 				if sentTo(actions, id) != "a" || !rig.router.AttemptStillValid(writtenAt, id) {
@@ -180,3 +180,26 @@
 		}
 	}
 }
+
+// A write that was decided for the primary was written to it although the router had learned meanwhile that another
+// host had taken over. A former primary that hangs then leaves the outcome unknown, and the write fails.
+func TestWriteIsNotWrittenToAFormerPrimary(t *testing.T) {
+	for evidence, learn := range map[string]func(rig *routerRig, other int64){
+		"its answer":             func(rig *routerRig, other int64) { rig.answer(other, "a", NotPrimary, Replica, 0) },
+		"its report":             func(rig *routerRig, _ int64) { rig.report("a", false, rig.now) },
+		"its successor's report": func(rig *routerRig, _ int64) { rig.report("b", true, rig.now) },
+	} {
+		rig := readyRig(t, testSettings())
+		rig.now += 50 * ms
+		other, _ := rig.request(unsafeWrite)
+		write, actions := rig.request(unsafeWrite)
+		if sentTo(actions, write) != "a" || !rig.router.AttemptStillValid(rig.now, write) {
+			t.Fatalf("want the write sent to the primary and valid, got %+v", actions)
+		}
+		rig.now += 20 * ms
+		learn(rig, other)
+		if rig.router.AttemptStillValid(rig.now, write) {
+			t.Errorf("%s: the write may be written to the former primary", evidence)
+		}
+	}
+}
--- a/balance/validity.go
+++ b/balance/validity.go
@@ -2,8 +2,8 @@
 
 // AttemptStillValid reports whether the attempt in flight of a request may still be written. Call it just
 // before the first byte is written: while the connection was opened, the host may have been excluded, it may
-// have become a replica, or its known position may have become too old. Report an attempt that is not valid as
-// NotSent; the router then retries or ends the request.
+// have become a replica, or its known position may have become too old. Report an attempt that is not valid
+// as NotSent; the router then retries or ends the request.
 func (r *Router) AttemptStillValid(now int64, id int64) bool {
 	req := r.requests[id]
 	if req == nil || req.finished || req.host == nil || req.host.excluded {
@@ -18,7 +18,10 @@
 // mayAnswer reports whether the known role and position of a host allow it to answer a request at a time.
 func (r *Router) mayAnswer(req *pendingRequest, host *hostState, now int64) bool {
 	switch {
-	case req.isWrite(), r.settings.HostsCheckStaleness, host.isAssumedPrimary():
+	case req.isWrite():
+		becameReplica := host.role == Replica && host.roleAsOf >= req.sentAt
+		return !becameReplica && !host.isSuperseded()
+	case r.settings.HostsCheckStaleness, host.isAssumedPrimary():
 		return true
 	case req.class.Consistency == Linearizable:
 		return false
@@ -27,13 +30,15 @@
 	}
 }
 
-// isAssumedPrimary reports whether the data of a host counts as current: it was the primary, and neither it nor
-// another member has been reported in another role since.
+// isAssumedPrimary reports whether the data of a host counts as current: it was the primary, it has not been
+// reported as a replica since, and no other member is confirmed as the primary.
 func (h *hostState) isAssumedPrimary() bool {
-	superseded := h.group.confirmed && h.group.primary != h
-	return h.wasPrimary && h.role != Replica && !superseded
+	return h.wasPrimary && h.role != Replica && !h.isSuperseded()
 }
 
+// isSuperseded reports whether another member of the group is confirmed as the primary.
+func (h *hostState) isSuperseded() bool { return h.group.confirmed && h.group.primary != h }
+
 // minPosition returns the log position that a host must have applied to answer a read at a time; 0 if any
 // will do.
 func (r *Router) minPosition(req *pendingRequest, now int64) int64 {
