balance: a session's read that waits sees writes that are answered meanwhile

By the tests, where requests do not carry the position of their session's last write, a read that waits is sent to a replica without a write of its session that was answered in the meantime.

Cause: the position was taken at the request's arrival.

Change: minPosition asks for the remembered commits at each decision and at the check before the first byte; carriedPosition is what a request brings itself.

--- a/balance/queue.go
+++ b/balance/queue.go
@@ -33,16 +33,16 @@
 	class := &r.settings.Classes[event.Class]
 	objective := class.LatencyObjective + int64(class.ObjectivePerWork*float64(event.WorkHint))
 	return &pendingRequest{
-		id:          event.Request,
-		class:       class,
-		classIndex:  event.Class,
-		group:       group,
-		sessionKey:  event.SessionKey,
-		hasSession:  event.HasSession,
-		objectiveAt: min(r.now+objective, event.Deadline),
-		halfTimeAt:  r.now + (event.Deadline-r.now)/2,
-		deadline:    event.Deadline,
-		minPosition: r.sessionPosition(class, event),
+		id:              event.Request,
+		class:           class,
+		classIndex:      event.Class,
+		group:           group,
+		sessionKey:      event.SessionKey,
+		hasSession:      event.HasSession,
+		objectiveAt:     min(r.now+objective, event.Deadline),
+		halfTimeAt:      r.now + (event.Deadline-r.now)/2,
+		deadline:        event.Deadline,
+		carriedPosition: r.carriedPosition(class, event),
 	}
 }
 
--- a/balance/retry_test.go
+++ b/balance/retry_test.go
@@ -181,11 +181,13 @@
 	}
 }
 
-// A write that was decided for the primary was written to it although the router had learned meanwhile that another
-// host had taken over. A former primary that hangs then leaves the outcome unknown, and the write fails.
+// A write that was decided for the primary was written to it although the router had learned meanwhile that
+// another host had taken over. A former primary that hangs then leaves the outcome unknown, and the write fails.
 func TestWriteIsNotWrittenToAFormerPrimary(t *testing.T) {
 	for evidence, learn := range map[string]func(rig *routerRig, other int64){
-		"its answer":             func(rig *routerRig, other int64) { rig.answer(other, "a", NotPrimary, Replica, 0) },
+		"its answer": func(rig *routerRig, other int64) {
+			rig.answer(other, "a", NotPrimary, Replica, 0)
+		},
 		"its report":             func(rig *routerRig, _ int64) { rig.report("a", false, rig.now) },
 		"its successor's report": func(rig *routerRig, _ int64) { rig.report("b", true, rig.now) },
 	} {
@@ -203,3 +205,26 @@
 		}
 	}
 }
+
+// A read that was decided for a replica was written to it although a later write of its session had been answered
+// meanwhile, and did not see that write. The router remembers the commits where requests do not carry them.
+func TestReadIsNotWrittenWithoutTheLatestCommitOfItsSession(t *testing.T) {
+	const session = 7
+	settings := testSettings()
+	settings.RequestsCarrySessionAge = false
+	rig := readyRig(t, settings)
+	write, _ := rig.requestAs(unsafeWrite, session, 0)
+	read, actions := rig.requestAs(sessionRead, session, 0)
+	replica := sentTo(actions, read)
+	if replica == "a" || replica == "" || !rig.router.AttemptStillValid(rig.now, read) {
+		t.Fatalf("want the read sent to a replica and valid, got %+v", actions)
+	}
+	rig.now += 20 * ms
+	rig.answer(write, "a", Succeeded, Primary, rig.now)
+	if rig.router.AttemptStillValid(rig.now, read) {
+		t.Error("the read may be written to a replica that lacks the session's latest commit")
+	}
+	if actions = rig.answer(read, replica, NotSent, RoleUnknown, 0); sentTo(actions, read) != "a" {
+		t.Errorf("want the read sent to the primary, which has the commit, got %+v", actions)
+	}
+}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -72,7 +72,8 @@
 	class           *Class
 	classIndex      int
 	deadline        int64
-	minPosition     int64
+	session         int64
+	minPosition     int64 // known when the request arrived
 	attempts        int
 	inFlight        int
 	mayHaveExecuted bool
@@ -168,7 +169,7 @@
 	index := c.draw(len(c.settings().Classes))
 	class := c.rig.class(index)
 	deadline := c.rig.now + class.Deadline
-	request := &checkedRequest{class: class, classIndex: index, deadline: deadline}
+	request := &checkedRequest{class: class, classIndex: index, deadline: deadline, session: session}
 	event := Event{
 		Kind:       RequestEvent,
 		Request:    id,
@@ -263,7 +264,7 @@
 	}
 	if event.Result == Succeeded && request.class.Consistency == Write {
 		event.Position = c.rig.now
-		c.commits[event.Request%7+1] = c.rig.now
+		c.commits[request.session] = c.rig.now
 	}
 	c.known[event.Host] = max(c.known[event.Host], event.Position)
 	if event.Role == Primary {
@@ -382,6 +383,10 @@
 		return
 	case BoundedStaleness:
 		needed = c.rig.now - request.class.MaxStaleness
+	case ReadYourWrites:
+		if !c.settings().RequestsCarrySessionAge {
+			needed = c.commits[request.session]
+		}
 	}
 	if !c.settings().HostsCheckStaleness && !c.wasPrimary[host] && c.known[host] < needed {
 		c.failf("class %d read from host %s with known position %d, want at least %d",
--- a/balance/sessions.go
+++ b/balance/sessions.go
@@ -46,17 +46,20 @@
 	}
 }
 
-// sessionPosition returns the log position that covers the earlier writes of the session of a new request;
-// 0 if a host of any position may answer it.
-func (r *Router) sessionPosition(class *Class, event *Event) int64 {
-	switch {
-	case class.Consistency != ReadYourWrites:
-		return 0
-	case !r.settings.RequestsCarrySessionAge:
-		return r.sessions.position(event.SessionKey)
-	case event.SessionWriteAge != 0:
-		return r.now - event.SessionWriteAge
-	default:
+// sessionPosition returns the log position that covers the writes of a request's session so far; 0 if a host of
+// any position may answer it.
+func (r *Router) sessionPosition(req *pendingRequest) int64 {
+	if r.settings.RequestsCarrySessionAge {
+		return req.carriedPosition
+	}
+	return r.sessions.position(req.sessionKey)
+}
+
+// carriedPosition returns the log position of the session's last write that a new request carries; 0 if it
+// carries none.
+func (r *Router) carriedPosition(class *Class, event *Event) int64 {
+	if class.Consistency != ReadYourWrites || event.SessionWriteAge == 0 {
 		return 0
 	}
+	return r.now - event.SessionWriteAge
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -35,12 +35,12 @@
 	group      *groupState
 	sessionKey int64 // of its session, if hasSession
 
-	objectiveAt int64 // an answer by then meets the latency objective
-	halfTimeAt  int64 // when half of the time to the deadline has passed
-	deadline    int64
-	minPosition int64   // with ReadYourWrites: a position that covers the session's writes
-	lateness    int     // order in the queue: above 0 if the objective can no longer be met
-	shedRank    float64 // 0 to 1: of two reads the one with the higher rank is shed first
+	objectiveAt     int64 // an answer by then meets the latency objective
+	halfTimeAt      int64 // when half of the time to the deadline has passed
+	deadline        int64
+	carriedPosition int64   // log position of the session's last write, if the request carries it
+	lateness        int     // order in the queue: above 0 if the objective can no longer be met
+	shedRank        float64 // 0 to 1: of two reads the one with the higher rank is shed first
 
 	attemptsSent      int
 	attempt           int        // number of the attempt in flight
--- a/balance/validity.go
+++ b/balance/validity.go
@@ -46,7 +46,7 @@
 	case BoundedStaleness:
 		return now - req.class.MaxStaleness
 	case ReadYourWrites:
-		return req.minPosition
+		return r.sessionPosition(req)
 	default:
 		return 0
 	}
