--- a/balance/retry_test.go
+++ b/balance/retry_test.go
@@ -182,7 +182,7 @@
 }
 
 // A write that was decided for the primary was written to it although the router had learned meanwhile that
-// another host had taken over. A former primary that hangs then leaves the outcome unknown, and the write fails.
+// another host had taken over. A former primary that hangs leaves the outcome unknown, and the write fails.
 func TestWriteIsNotWrittenToAFormerPrimary(t *testing.T) {
 	for evidence, learn := range map[string]func(rig *routerRig, other int64){
 		"its answer": func(rig *routerRig, other int64) {
@@ -206,7 +206,7 @@
 	}
 }
 
-// A read that was decided for a replica was written to it although a later write of its session had been answered
+// A read that was decided for a replica was written to it although a write of its session had been answered
 // meanwhile, and did not see that write. The router remembers the commits where requests do not carry them.
 func TestReadIsNotWrittenWithoutTheLatestCommitOfItsSession(t *testing.T) {
 	const session = 7
--- a/balance/sessions.go
+++ b/balance/sessions.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// sessionPosition returns the log position that covers the writes of a request's session so far; 0 if a host of
-// any position may answer it.
+// sessionPosition returns the log position that covers the writes of a request's session so far; 0 if a host
+// of any position may answer it.
 func (r *Router) sessionPosition(req *pendingRequest) int64 {
 	if r.settings.RequestsCarrySessionAge {
 		return req.carriedPosition
