balance: an attempt from before its host's restart is not written in its slow start

By the test, an attempt that waits for a connection while the list tells of a new start of its host is written to the cold host, and no token of its slow start was taken for it.

Cause: tokens are taken at the decision; AttemptStillValid did not look at the slow start.

Change: hostSlowStart remembers when this gateway learned of the start. An attempt that was decided before that is reported as not sent, and decided anew under the slow start.

--- a/balance/slowstart.go
+++ b/balance/slowstart.go
@@ -2,9 +2,10 @@
 
 // hostSlowStart paces requests to a host that has just started and whose caches are cold.
 type hostSlowStart struct {
-	warmingUp   bool
-	slowStartAt int64       // when the host started
-	startBucket tokenBucket // attempts that this gateway may send
+	warmingUp      bool
+	slowStartAt    int64       // when the host started
+	startLearnedAt int64       // when this gateway learned of that
+	startBucket    tokenBucket // attempts that this gateway may send
 }
 
 // beginSlowStart begins the slow start of a host that started at the given time. The bucket begins with a
@@ -13,6 +14,7 @@
 func (r *Router) beginSlowStart(host *hostState, at int64) {
 	host.warmingUp = true
 	host.slowStartAt = at
+	host.startLearnedAt = r.now
 	host.startBucket = tokenBucket{tokens: r.rand.Fraction(), refilledAt: r.now}
 	host.concurrencyLimit = 1
 	host.latencyShare = 0
@@ -52,6 +54,12 @@
 	return tokens >= 1
 }
 
+// precedesSlowStart reports whether the attempt in flight of a request was decided before this gateway
+// learned that its host has started anew: the slow start has not admitted it.
+func (req *pendingRequest) precedesSlowStart() bool {
+	return req.host.warmingUp && req.sentAt < req.host.startLearnedAt
+}
+
 // takeSlowStartTokens removes the cost of a request from the bucket of a host in slow start.
 func (r *Router) takeSlowStartTokens(host *hostState, req *pendingRequest) {
 	if host.warmingUp {
--- a/balance/slowstart_test.go
+++ b/balance/slowstart_test.go
@@ -264,3 +264,25 @@
 		}
 	}
 }
+
+// An attempt that was decided before its host started anew was written to the cold host, outside the budget
+// of its slow start. Enough gateways with waiting attempts overload it.
+func TestAttemptDecidedBeforeARestartIsNotWrittenAfterIt(t *testing.T) {
+	rig := readyRig(t, testSettings())
+	for _, class := range []int{eventualRead, unsafeWrite} {
+		id, actions := rig.request(class)
+		host := sentTo(actions, id)
+		rig.now += 50 * ms
+		rig.list(Endpoint{Host: host, State: Ready, StartedAt: rig.now})
+		if host == "" || rig.router.AttemptStillValid(rig.now, id) {
+			t.Errorf("class %d: the attempt may be written to host %q, which is cold now", class, host)
+		}
+		rig.answer(id, host, NotSent, RoleUnknown, 0)
+	}
+	rig.advance(rig.router.settings.SlowStartDuration) // the buckets have tokens long before that
+	rig.reportAll(rig.now)
+	id, actions := rig.request(unsafeWrite)
+	if sentTo(actions, id) == "" || !rig.router.AttemptStillValid(rig.now, id) {
+		t.Errorf("an attempt that was decided after the start is not valid: %+v", actions)
+	}
+}
--- a/balance/validity.go
+++ b/balance/validity.go
@@ -2,8 +2,8 @@
 
 // AttemptStillValid reports whether the attempt in flight of a request may still be written. Call it just
 // before the first byte is written: while the connection was opened, the host may have been excluded, it may
-// have become a replica, or its known position may have become too old. Report an attempt that is not valid
-// as NotSent; the router then retries or ends the request.
+// have started anew or become a replica, or its known position may have become too old. Report an attempt
+// that is not valid as NotSent; the router then retries or ends the request.
 func (r *Router) AttemptStillValid(now int64, id int64) bool {
 	req := r.requests[id]
 	if req == nil || req.finished || req.host == nil || req.host.excluded {
@@ -12,7 +12,7 @@
 	if now >= min(req.deadline, r.shutdownDeadline) || r.deduplicationLapsed(req, now) {
 		return false
 	}
-	return r.mayAnswer(req, req.host, now)
+	return !req.precedesSlowStart() && r.mayAnswer(req, req.host, now)
 }
 
 // mayAnswer reports whether the known role and position of a host allow it to answer a request at a time.
