frontend: what clients hold has a file of its own, and each message is parsed in one place

Need: the count of held bytes, the limit on it and what follows at the limit stood in three files, which is how a count that is left went unseen. Parsing of startup messages and of others repeated the same handling of faulty and incomplete input.

Change: memory.go holds the count and the limit. parseMessage takes one message; parse alone handles errors and what is incomplete. No behaviour changes.

--- a/balance/doc.go
+++ b/balance/doc.go
@@ -27,10 +27,12 @@
 //     position satisfies its consistency (replicas.go, sessions.go); the primary is the last resort.
 //  3. A host takes the request only if it is listed and healthy and has capacity (endpoints.go, health.go,
 //     admission.go, slowstart.go). Otherwise the request stays queued.
-//  4. The outcome of the attempt updates the state of the host (outcome.go). It either ends the request or
+//  4. Just before the first byte is written, the attempt is checked against what has become known since the
+//     decision (validity.go).
+//  5. The outcome of the attempt updates the state of the host (outcome.go). It either ends the request or
 //     leads to a retry (retry.go). A request that may have been executed is retried only if its
 //     [RetrySafety] allows it and the retry budget has a token.
-//  5. A request that no host answers gets one final action: [RejectAction] if the client can safely try
+//  6. A request that no host answers gets one final action: [RejectAction] if the client can safely try
 //     again, [FailAction] if the request may have been executed and a repeat could do harm. The action is
 //     emitted as soon as waiting longer cannot help.
 //
--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -80,73 +80,72 @@
 	return n > 0 && c.pipeline[n-1].err != nil
 }
 
-// parse splits data into messages and appends them to the pipeline. It returns false if it has ended the connection.
+// parse handles the messages in data and keeps the rest as an incomplete message. It returns false if it has ended the
+// connection.
 func (c *client) parse(data []byte, now int64) bool {
 	for len(data) > 0 {
-		if !c.started {
-			startup, rest, complete, err := pgwire.NextStartup(data)
-			if err != nil {
-				c.pipeline = append(c.pipeline, command{receivedAt: now, err: err})
-				return true
-			}
-			if !complete {
-				c.partial = data
-				return true
-			}
-			data = rest
-			if !c.handleStartup(startup) {
-				return false
-			}
-			continue
-		}
-		message, rest, complete, err := pgwire.Next(data)
-		if err != nil {
+		rest, complete, err := c.parseMessage(data, now)
+		switch {
+		case err != nil:
 			c.pipeline = append(c.pipeline, command{receivedAt: now, err: err})
 			return true
-		}
-		if !complete {
+		case c.terminated || c.closed:
+			return false
+		case !complete:
 			c.partial = data
 			return true
 		}
-		if len(c.pipeline) >= maxPipelined {
-			c.rejectExcessInput()
-			return false
-		}
 		data = rest
-		c.partialSince = now
-		c.pipeline = append(c.pipeline, command{kind: message.Type, text: message.Body, receivedAt: now})
 	}
 	return true
 }
 
-// rejectExcessInput abandons the request in flight and ends the connection at once with an error, because the client
-// has sent more than the server may hold. Answering the queued commands first would delay the error by as long as that
-// takes.
-func (c *client) rejectExcessInput() {
-	c.abandonRequest()
-	c.failConnection(pgwire.CodeProtocolViolation, "too much sent ahead of the answers")
+// parseMessage handles the first message in data, unless it is incomplete, and returns what follows it. Startup messages
+// are answered; all others are queued as commands.
+func (c *client) parseMessage(data []byte, now int64) (rest []byte, complete bool, err error) {
+	if !c.started {
+		startup, rest, complete, err := pgwire.NextStartup(data)
+		if complete {
+			c.handleStartup(startup)
+		}
+		return rest, complete, err
+	}
+	message, rest, complete, err := pgwire.Next(data)
+	if complete {
+		c.queueCommand(message, now)
+	}
+	return rest, complete, err
+}
+
+// queueCommand appends a message to the pipeline, and ends the connection if that is full.
+func (c *client) queueCommand(message pgwire.Message, now int64) {
+	if len(c.pipeline) >= maxPipelined {
+		c.rejectExcessInput()
+		return
+	}
+	c.partialSince = now // of the message that may follow
+	c.pipeline = append(c.pipeline, command{kind: message.Type, text: message.Body, receivedAt: now})
 }
 
-// handleStartup answers a startup message, or an SSL, GSSAPI encryption or cancel request in its place. It returns
-// false if it has ended the connection.
-func (c *client) handleStartup(startup pgwire.Startup) bool {
+// handleStartup answers a startup message, or an SSL, GSSAPI encryption or cancel request in its place. A cancel request
+// and an unknown protocol end the connection.
+func (c *client) handleStartup(startup pgwire.Startup) {
 	major := startup.Code >> 16
 	minor := startup.Code & 0xffff
 	switch {
 	case startup.Code == pgwire.SSLRequest || startup.Code == pgwire.GSSENCRequest:
 		c.conn.Write([]byte{'N'})
-		return true
+		return
 	case startup.Code == pgwire.CancelRequest:
 		c.server.cancelRequest(startup.PID, startup.Secret)
 		c.close()
-		return false
+		return
 	case major != pgwire.ProtocolVersion>>16:
 		c.failConnection(pgwire.CodeNotSupported, fmt.Sprintf("protocol %d.%d is not supported", major, minor))
-		return false
+		return
 	}
 	c.started = true
 	c.conn.Write(c.appendStartupResponse(nil, startup.Code))
-	return true
 }
 
 // serverParameters are reported to each client at startup.
@@ -173,16 +172,6 @@
 	return pgwire.AppendReadyForQuery(b)
 }
 
-// updateHeldBytes recomputes the number of bytes held for this client and updates the server's total.
-func (c *client) updateHeldBytes() {
-	n := len(c.partial) + c.requestBytes
-	for i := range c.pipeline {
-		n += len(c.pipeline[i].text)
-	}
-	c.server.heldBytes += n - c.heldBytes
-	c.heldBytes = n
-}
-
 // markIdle records that the connection has no request in flight and no queued command: it may be evicted.
 func (c *client) markIdle() {
 	if c.idleEntry != nil || c.closed {
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -136,23 +136,3 @@
 		}
 	}
 }
-
-// enforceMemoryLimit ends the client that holds the most bytes if the requests, pipelined commands and incomplete
-// messages of all clients together exceed the limit.
-func (s *Server) enforceMemoryLimit() {
-	if s.heldBytes <= s.limits.Bytes {
-		return
-	}
-	var largest *client
-	for c := range s.clients {
-		if largest == nil || c.heldBytes > largest.heldBytes {
-			largest = c
-		}
-	}
-	if largest == nil {
-		return
-	}
-	s.log.Warn().Int("held_bytes", s.heldBytes).Int("limit_bytes", s.limits.Bytes).Int("client_bytes", largest.heldBytes).
-		Int("clients", len(s.clients)).Msg("frontend: memory limit reached, client with the most bytes ended")
-	largest.rejectExcessInput()
-}
