--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -110,9 +110,31 @@
 	for range 3000 {
 		checker.step()
 	}
+	checker.checkNothingIsLeft()
 	return checker.log
 }
 
+// checkNothingIsLeft checks that the router counts nothing any more once the deadlines of all requests have
+// passed.
+func (c *ruleChecker) checkNothingIsLeft() {
+	for range 200 {
+		c.rig.now += 50 * ms
+		c.endOverdueAttempts()
+		c.check(c.rig.handle(Event{Kind: TimerEvent}))
+	}
+	router := c.rig.router
+	left := len(router.requests)
+	for _, host := range router.hostsByID {
+		left += len(host.inFlight)
+	}
+	for _, group := range router.groups {
+		left += len(group.queue)
+	}
+	if left > 0 {
+		c.failf("%d requests or attempts are left at the end", left)
+	}
+}
+
 // draw returns a number in [0, n).
 func (c *ruleChecker) draw(n int) int { return int(c.rand.Below(int64(n))) }
 
