balance: the role in a primary's answer counts as of its position, not of its receipt

By the test, an answer of a primary that is complete only after a later answer of the same host as a replica makes it the primary again, and reads go there although an answer had told that it is none.

Cause: recordAnswer dated the role by the receipt. Reports and gossip date it by the position.

Change: evidenceTime dates the role in a primary's answer by its position, which is the time of the answer.

Result: TestLateAnswerOfAPrimaryDoesNotUndoALaterOneAsReplica failed before and passes.

--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -73,11 +73,20 @@
 		host.wasPrimary = false
 	}
 	if role != RoleUnknown {
-		r.recordRole(host, role, r.now)
+		r.recordRole(host, role, r.evidenceTime(role, event.Position))
 	}
 	r.publishFact(host, event.Position, role)
 }
 
+// evidenceTime returns the time of which an answer shows the role of its host. The position of a primary is
+// the time at which it answered. Its answer may be complete only after a later one on another connection.
+func (r *Router) evidenceTime(role Role, position int64) int64 {
+	if role == Primary && position > 0 {
+		return min(r.now, position)
+	}
+	return r.now
+}
+
 // recordSuccess records a successful answer. The request may be nil.
 func (r *Router) recordSuccess(host *hostState, req *pendingRequest, event *Event) {
 	host.countSuccess()
--- a/balance/primary_test.go
+++ b/balance/primary_test.go
@@ -117,3 +117,25 @@
 		t.Fatalf("want the non-idempotent write failed: %v", actions)
 	}
 }
+
+// An answer that a host gave as the primary, and that was complete only after a later answer of the same
+// host as a replica, made it the primary again. Reads went there although an answer had told that it is none.
+func TestLateAnswerOfAPrimaryDoesNotUndoALaterOneAsReplica(t *testing.T) {
+	rig := newRig(t, testSettings(), threeHosts()...)
+	rig.reportAll(rig.now - 5000*ms)
+	rig.now += 50 * ms
+	early, actions := rig.request(unsafeWrite)
+	late, _ := rig.requestAs(sessionRead, 1, 10*ms)
+	if sentTo(actions, early) != "a" {
+		t.Fatal("want the write sent to the primary")
+	}
+	wasPrimaryAt := rig.now
+	rig.now += 50 * ms
+	rig.answer(late, "a", Succeeded, Replica, wasPrimaryAt+10*ms)
+	rig.now += 5 * ms
+	rig.answer(early, "a", Succeeded, Primary, wasPrimaryAt)
+	read, actions := rig.requestAs(sessionRead, 1, 10*ms)
+	if sentTo(actions, read) == "a" {
+		t.Errorf("the read is sent to the former primary: %+v", actions)
+	}
+}
