store: the test of retries also repeats commands whose outcome is unknown

Traced: an instance dials the leader before that listens and waits 200 ms to dial again; a proposal that it passes on meanwhile is in the queue that is dropped then ('dropped MsgProp' in the run that failed, in none of the others), so it ends with ErrOutcomeUnknown after 3 s. Propose allows that and asks for a retry with the same session and number. The test took any such answer for a failure.

Change: the test repeats a command that has no leader or an unknown outcome, at the same instance, until it is answered. Before it skipped an instance without a leader. That the command is applied once is checked as before, now over more retries.

With a mutation that applies a repeated number again it fails (version 3, want 1).

--- a/internal/store/node/node_test.go
+++ b/internal/store/node/node_test.go
@@ -64,17 +64,21 @@
 func TestRetryAtAnotherInstanceIsAppliedOnce(t *testing.T) {
 	cl := startCluster(t, 3)
 	cl.leader()
-	session, err := cl.nodes[0].Propose(cl.ctx, &machine.Command{Kind: machine.OpenSessionKind})
-	for errors.Is(err, core.ErrNoLeader) {
-		session, err = cl.nodes[0].Propose(cl.ctx, &machine.Command{Kind: machine.OpenSessionKind})
+	// A proposal is lost, and its outcome unknown, if its instance is just reconnecting to the leader.
+	propose := func(i int, command machine.Command) (machine.Result, error) {
+		for {
+			attempt := command
+			result, err := cl.nodes[i].Propose(cl.ctx, &attempt)
+			if !errors.Is(err, core.ErrNoLeader) && !errors.Is(err, core.ErrOutcomeUnknown) || cl.ctx.Err() != nil {
+				return result, err
+			}
+		}
 	}
+	session, err := propose(0, machine.Command{Kind: machine.OpenSessionKind})
 	cl.must(err)
 	for i := range cl.nodes {
-		again, err := cl.nodes[i].Propose(cl.ctx, &machine.Command{Kind: machine.TransactionKind, Session: session.ID, Seq: 1,
+		again, err := propose(i, machine.Command{Kind: machine.TransactionKind, Session: session.ID, Seq: 1,
 			Then: []machine.Op{{Kind: machine.Put, NS: "n", Key: "k"}}})
-		if errors.Is(err, core.ErrNoLeader) {
-			continue
-		}
 		if err != nil || again.Code != machine.OK {
 			t.Errorf("retry at n%d: result %+v, error %v", i, again, err)
 		}
