--- a/review/standin-2/flood.go
+++ b/review/standin-2/flood.go
@@ -23,7 +23,10 @@
 func init() { cases["flood"] = playFlood }
 
 // playFlood lets usual clients send requests, and one bad client send lines that can't be read at full speed.
-func playFlood(p *play) error {
+func playFlood(p *play) error { return p.besideBadClient(p.badClient) }
+
+// besideBadClient lets usual clients send requests to a gateway, and a bad client do what it does from floodFrom to floodTo.
+func (p *play) besideBadClient(badClient func(address string, until time.Time)) error {
 	g := newGroup(1, p.rec)
 	instances, err := startHosts(g, 5, 20*time.Millisecond)
 	if err != nil {
@@ -47,7 +50,7 @@
 	if p.trouble {
 		clients.Go(func() {
 			time.Sleep(time.Until(begin.Add(floodFrom)))
-			p.badClient(gw.listen, begin.Add(floodTo))
+			badClient(gw.listen, begin.Add(floodTo))
 		})
 	}
 	clients.Wait()
