--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,4 +7,4 @@
   echo "build the project by its deploy file, and then the stand-ins by review/build-2.sh" >&2
   exit 2
 fi
-exec "$program" ownread --root "$root" --record "$here/record.txt"
+exec "$program" ahead --root "$root" --record "$here/record.txt"
--- a/review/standin-2/again.go
+++ b/review/standin-2/again.go
@@ -17,7 +17,7 @@
 
 // playAgain lets usual clients send requests, and one bad client ask for TLS again and again, although it is turned away.
 func playAgain(p *play) error {
-	return p.besideBadClient(func(address string, until time.Time) {
+	return p.besideBadClients(1, func(address string, until time.Time) {
 		for time.Now().Before(until) {
 			p.askForTLS(address, until)
 			time.Sleep(floodPause)
--- a/review/standin-2/flood.go
+++ b/review/standin-2/flood.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"time"
@@ -12,9 +12,10 @@
 const (
 	floodClients = 8                      // usual clients, each with a connection that it keeps
 	floodPause   = 100 * time.Millisecond // between an answer and the client's next request
-	floodFor     = 14 * time.Second       // in which usual clients begin requests
-	floodFrom    = 3 * time.Second        // from when on the bad client sends
-	floodTo      = 11 * time.Second
+	floodFor     = 10 * time.Second       // in which usual clients begin requests
+	floodFrom    = 2 * time.Second        // from when on the bad client sends
+	floodTo      = 8 * time.Second
+	floodBad     = 3    // bad clients
 	floodLine    = 4000 // bytes of what the bad client sends again and again
 
 	lateAfter = 550 * time.Millisecond // after its time a request without an answer is lost: 0.5 s, and 50 ms on sockets
@@ -22,11 +23,11 @@
 
 func init() { cases["flood"] = playFlood }
 
-// playFlood lets usual clients send requests, and one bad client send lines that can't be read at full speed.
-func playFlood(p *play) error { return p.besideBadClient(p.badClient) }
+// playFlood lets usual clients send requests, and bad clients send lines that can't be read at full speed.
+func playFlood(p *play) error { return p.besideBadClients(floodBad, p.badClient) }
 
-// besideBadClient lets usual clients send requests to a gateway, and a bad client do what it does from floodFrom to floodTo.
-func (p *play) besideBadClient(badClient func(address string, until time.Time)) error {
+// besideBadClients lets usual clients send requests to a gateway, and bad clients do what they do from floodFrom to floodTo.
+func (p *play) besideBadClients(badClients int, badClient func(address string, until time.Time)) error {
 	g := newGroup(1, p.rec)
 	instances, err := startHosts(g, 5, 20*time.Millisecond)
 	if err != nil {
@@ -37,7 +38,7 @@
 		return err
 	}
 	defer d.close()
-	site := deployment{tokens: "client", memoryMB: 64, sockets: 384}
+	site := deployment{tokens: "client", memoryMB: 32, sockets: 256}
 	gw, err := p.startGateway(site.configuration("n1", freeAddress(), d.address(), instances))
 	if err != nil {
 		return err
@@ -48,10 +49,12 @@
 		clients.Go(func() { p.usualClient(gw.listen, i, begin.Add(floodFor)) })
 	}
 	if p.trouble {
-		clients.Go(func() {
-			time.Sleep(time.Until(begin.Add(floodFrom)))
-			badClient(gw.listen, begin.Add(floodTo))
-		})
+		for range badClients {
+			clients.Go(func() {
+				time.Sleep(time.Until(begin.Add(floodFrom)))
+				badClient(gw.listen, begin.Add(floodTo))
+			})
+		}
 	}
 	clients.Wait()
 	if !gw.running() {
@@ -110,11 +113,9 @@
 func (p *play) badClient(address string, until time.Time) {
 	line := queryMessage(strings.Repeat("select what nobody can read ", floodLine/28))
 	var lines []byte
-	for len(lines) < 256<<10 {
+	for len(lines) < 1<<20 {
 		lines = append(lines, line...)
 	}
-	perSecond := 0
-	_, _ = fmt.Sscanf(os.Getenv("BYTES_PER_SECOND"), "%d", &perSecond)
 	for time.Now().Before(until) {
 		c, err := dialClient(address)
 		if err != nil {
@@ -123,15 +124,8 @@
 			continue
 		}
 		var errors sync.WaitGroup
-		answered := 0
-		errors.Go(func() {
-			for {
-				if a := c.receive(); a.kind == "none" {
-					return
-				}
-				answered++
-			}
-		})
+		var answered int64
+		errors.Go(func() { answered, _ = io.Copy(io.Discard, c.reader) })
 		began, sent := time.Now(), 0
 		_ = c.conn.SetWriteDeadline(until)
 		for time.Now().Before(until) {
@@ -141,13 +135,10 @@
 				p.rec.linef("bad client: %v", err)
 				break
 			}
-			if perSecond > 0 {
-				time.Sleep(time.Until(began.Add(time.Duration(float64(sent) / float64(perSecond) * float64(time.Second)))))
-			}
 		}
 		sentFor := time.Since(began)
 		reset(c.conn.(*net.TCPConn))
 		errors.Wait()
-		p.rec.linef("bad client: sent %d bytes in %d ms on one connection, got %d errors", sent, sentFor.Milliseconds(), answered)
+		p.rec.linef("bad client: sent %d bytes in %d ms on one connection, got %d bytes of errors", sent, sentFor.Milliseconds(), answered)
 	}
 }
