eventloop: a peer that sends at full speed no longer keeps others from being read

Cause: engineReadable read a connection until nothing was left there and served no other meanwhile. Who sends as fast as the gateway reads holds the engine, and the queue to the loop, without bound. It is the same for clients and hosts; each datagram of a gateway took a place in the queue.

Evidence: TestFloodingPeerLeavesTurnsAndQueueToOthers, on the code before: 4232403 bytes of one peer in the queue, a byte of another connection never read (fails after its timeout, each time). TestDatagramsWaitInTheSocketForTheirTurn: 4 events of one burst in the queue, want 1.

Change: the engine reads a connection four times at an event, and not beyond 64 KiB that are not handled. What is left stays in the socket; the loop reads it, once in each of its rounds, in which all others are served. Datagrams have one place in the queue. Events are edge-triggered, so that input which is left causes none. A handler can pause its input now. If the peer has closed its side, all that is left is read as before.

Why it works: what one peer holds of engine, queue and loop is bounded whatever it sends, and the rest waits where only that peer feels it.

One check of a test follows its field (undeliveredReads) to the new struct, unchanged.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,14 +11,8 @@
 	"golang.org/x/sys/unix"
 )
 
-const (
-	// maxDiscardedReads is the number of reads of discarded input after which other connections are served.
-	maxDiscardedReads = 4
-
-	// releaseTimeout is the time in microseconds after which a socket is closed that the engine has not closed by
-	// itself.
-	releaseTimeout = 1e5
-)
+// releaseTimeout is the time in microseconds after which a socket is closed that the engine has not closed by itself.
+const releaseTimeout = 1e5
 
 // Conn is one TCP connection. Its methods must be called on the loop's goroutine, except as noted.
 //
@@ -37,47 +30,12 @@
 	queuedBytes  int64        // passed to Write
 	writtenBytes atomic.Int64 // accepted by the kernel
 
-	mu               sync.Mutex // guards the fields below and the descriptor
-	released         bool       // the descriptor must not be used any more
-	writeClosed      bool       // the write side was closed: further input is discarded
-	undeliveredReads int        // reads that the handler has not received yet
-}
-
-// read reads the peer's input. It is called on the engine's goroutine. It returns 0 and no error if there is no more
-// input at present, and an error at the end of the connection, after closing the socket.
-func (c *Conn) read(b []byte) (n int, err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for discarded := 0; discarded < maxDiscardedReads; {
-		if c.released {
-			return 0, net.ErrClosed
-		}
-		n, err = c.nb.Read(b)
-		switch {
-		case n > 0 && c.writeClosed:
-			discarded++
-		case n > 0:
-			c.undeliveredReads++
-			return n, nil
-		case errors.Is(err, syscall.EINTR):
-		case errors.Is(err, syscall.EAGAIN):
-			return 0, nil
-		default:
-			if err == nil {
-				err = io.EOF
-			}
-			c.release(err)
-			return 0, err
-		}
-	}
-	return 0, nil
-}
+	inTurn bool // in Loop.turns
 
-// readDelivered records that one read is passed to the handler.
-func (c *Conn) readDelivered() {
-	c.mu.Lock()
-	c.undeliveredReads--
-	c.mu.Unlock()
+	mu          sync.Mutex // guards the fields below and the descriptor
+	released    bool       // the descriptor must not be used any more
+	writeClosed bool       // the write side was closed: further input is discarded
+	input       input
 }
 
 // Write sends b, at once as far as the socket accepts it and the rest later.
@@ -142,7 +100,7 @@
 }
 
 func (c *Conn) inputDrainedLocked() bool {
-	if c.released || c.writeClosed || c.undeliveredReads > 0 {
+	if c.released || c.writeClosed || c.input.undeliveredReads > 0 {
 		return false
 	}
 	_, err := c.peek()
@@ -180,7 +138,14 @@
 
 func (c *Conn) peerClosedInTCPState() bool {
 	info, err := unix.GetsockoptTCPInfo(c.descriptor(), unix.IPPROTO_TCP, unix.TCP_INFO)
-	return err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
+	if err != nil {
+		return false
+	}
+	switch info.State {
+	case unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING, unix.BPF_TCP_CLOSE:
+		return true
+	}
+	return false
 }
 
 // CloseWrite closes the write side and reports whether it did. It does nothing if the handler has not received all input
--- a/internal/eventloop/conn_test.go
+++ b/internal/eventloop/conn_test.go
@@ -127,7 +127,7 @@
 				pollUntil(t, "the engine", func() bool {
 					other.mu.Lock()
 					defer other.mu.Unlock()
-					return other.undeliveredReads == 1
+					return other.input.undeliveredReads == 1
 				})
 				c.sendByte(t) // not read: the engine waits for space to queue the byte of the other connection
 				pollUntil(t, "the byte", func() bool { return !c.InputDrained() })
--- a/internal/eventloop/engine.go
+++ b/internal/eventloop/engine.go
@@ -7,9 +7,6 @@
 	"github.com/rs/zerolog"
 )
 
-// maxPackets is the number of datagrams that are read at once before connections are served.
-const maxPackets = 3
-
 const engineLogPrefix = "eventloop: engine: "
 
 // engineOpened is called by the engine, on its accepting goroutine, for a new connection.
@@ -26,25 +23,14 @@
 	l.post(event{call: func() { c.handler = accept(c) }})
 }
 
-// engineReadable is called by the engine, on its goroutine, when data has arrived or the peer has closed its side. It
-// must read all available input: if the peer has closed its side, the engine closes the socket afterwards.
+// engineReadable is called by the engine, on its goroutine, when data has arrived or the peer has closed its side.
 func (l *Loop) engineReadable(nb *nbio.Conn) {
 	l.syncWithEngine()
-	c, ok := nb.Session().(*Conn)
-	if !ok {
-		l.receivePackets(nb)
+	if c, ok := nb.Session().(*Conn); ok {
+		l.readArrived(c)
 		return
 	}
-	for {
-		n, err := c.read(l.readBuffer)
-		if n == 0 {
-			if err != nil {
-				l.post(event{conn: c, kind: closedEvent, err: err})
-			}
-			return
-		}
-		l.post(event{conn: c, kind: readEvent, data: append([]byte(nil), l.readBuffer[:n]...)})
-	}
+	l.packets.arrived()
 }
 
 // engineClosed is called by the engine after it has closed a socket.
@@ -73,20 +59,6 @@
 	defer l.mu.Unlock()
 }
 
-func (l *Loop) receivePackets(nb *nbio.Conn) {
-	for range maxPackets {
-		buffer := l.readBuffer
-		from, n, err := nb.ReadAndGetConn(&buffer)
-		if err != nil || n <= 0 {
-			return
-		}
-		data := append([]byte(nil), buffer[:n]...)
-		if addr, isUDP := from.RemoteAddr().(*net.UDPAddr); isUDP {
-			l.post(event{call: func() { l.onPacket(addr, data) }})
-		}
-	}
-}
-
 // waitForEngine waits until the engine's goroutines run. When they start they reset the flag that stops them, so a stop
 // before that would be lost and they would run forever. The goroutine that serves connections runs once it has reported
 // the end of a connection, which is opened and closed here.
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -22,9 +22,6 @@
 	// minEngineSlots is the minimum size of the engine's table of connections, which the engine allocates at its start.
 	minEngineSlots = 1024
 
-	// readBufferSize is the maximum size of one read from a socket, in bytes.
-	readBufferSize = 64 << 10
-
 	// maxWait is how long the loop waits for an event if no timer is set.
 	maxWait = time.Hour
 )
@@ -32,7 +29,7 @@
 // Handler receives the events of a connection, always on the loop's goroutine. It receives nothing after Closed, or
 // after the connection was closed by Conn.Close.
 type Handler interface {
-	Data(b []byte)    // the handler may keep b
+	Data(b []byte)    // the handler may keep b; data read before Conn.PauseInput was called may arrive after it
 	Closed(err error) // the peer or the network has ended the connection
 }
 
@@ -41,7 +38,7 @@
 	engine        *nbio.Engine
 	log           zerolog.Logger
 	acceptLimiter *acceptLimiter // nil if the loop does not listen
-	readBuffer    []byte         // used only on the engine's goroutine
+	engineBuffer  []byte         // used only on the engine's goroutine
 	startedAt     time.Time
 	startUnix     int64 // startedAt in microseconds since 1970
 
@@ -58,9 +55,12 @@
 
 	// The fields below are used only on the loop's goroutine.
 	spareQueue []event // an emptied queue for reuse
+	turns      []*Conn // connections that the loop reads in turn
+	spareTurns []*Conn // an emptied list for reuse
+	turnBuffer []byte
+	packets    *PacketConn // nil if there is no UDP socket
 	timers     timers
 	stopped    bool
-	onPacket   func(from net.Addr, b []byte)
 
 	done chan struct{} // closed when Run has ended
 }
@@ -79,7 +79,8 @@
 const (
 	callEvent eventKind = iota
 	readEvent
-	closedEvent
+	turnEvent   // the loop reads the connection from now on
+	closedEvent // the peer or the network has ended the connection
 )
 
 // New returns a loop for the given maximum number of descriptors and of bytes that were read and are not handled yet.
@@ -101,7 +102,9 @@
 func (l *Loop) Start(address string, maxAccepted int, accept func(*Conn) Handler) error {
 	conf := nbio.Config{
 		Name: "cloverrock", Network: "tcp", NPoller: 1, UDPReadTimeout: time.Minute,
-		ReadBufferSize: 1, // not used: engineReadable reads into Loop.readBuffer
+		ReadBufferSize: 1, // not used: readArrived reads into Loop.engineBuffer
+		// Edge-triggered: input that is left in a socket causes no further event.
+		EpollMod: nbio.EPOLLET,
 		Listen: func(network, addr string) (net.Listener, error) {
 			listener, err := net.Listen(network, addr)
 			if err != nil {
@@ -115,7 +118,8 @@
 		conf.Addrs = []string{address}
 	}
 	l.engine = nbio.NewEngine(conf)
-	l.readBuffer = make([]byte, readBufferSize)
+	l.engineBuffer = make([]byte, readBufferSize)
+	l.turnBuffer = make([]byte, readBufferSize)
 	l.engine.OnOpen(func(nb *nbio.Conn) { l.engineOpened(nb, accept) })
 	l.engine.OnRead(l.engineReadable)
 	l.engine.OnClose(l.engineClosed)
@@ -167,8 +171,9 @@
 	defer timer.Stop()
 	for !l.stopped {
 		handled := l.handleQueue()
+		l.takeTurns()
 		l.runTimers()
-		if handled > 0 || l.stopped {
+		if handled > 0 || len(l.turns) > 0 || l.stopped {
 			continue
 		}
 		timer.Reset(l.untilNextTimer())
@@ -200,18 +205,16 @@
 
 func (l *Loop) handle(ev *event) {
 	c := ev.conn
-	if ev.kind == readEvent {
-		c.readDelivered()
-	}
-	switch {
-	case ev.call != nil:
+	switch ev.kind {
+	case callEvent:
 		ev.call()
-	case c == nil || c.closed || c.handler == nil:
-	case ev.kind == readEvent:
-		c.handler.Data(ev.data)
-	case ev.kind == closedEvent:
-		c.closed = true
-		c.handler.Closed(ev.err)
+	case readEvent:
+		c.readDelivered(len(ev.data))
+		c.deliver(ev.data)
+	case turnEvent:
+		l.startTurns(c)
+	case closedEvent:
+		c.ended(ev.err)
 	}
 }
 
--- a/internal/eventloop/packet.go
+++ b/internal/eventloop/packet.go
@@ -4,13 +4,27 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/lesismal/nbio"
 )
 
-// PacketConn is a UDP socket.
-type PacketConn struct{ nb *nbio.Conn }
+// maxPackets is the number of datagrams that are handled in one turn before connections are served.
+const maxPackets = 3
+
+// maxPacketSize is the number of bytes of a datagram that are read; the rest of a longer one is dropped.
+const maxPacketSize = 64 << 10
+
+// PacketConn is a UDP socket. The loop reads it in turns of at most maxPackets datagrams. Further ones wait in the
+// socket, and the system drops those for which it has no room.
+type PacketConn struct {
+	loop     *Loop
+	nb       *nbio.Conn
+	onPacket func(from net.Addr, b []byte)
+	buffer   []byte
+	queued   atomic.Bool // a turn is queued
+}
 
 // ListenPacket opens a UDP socket; onPacket is called for each datagram. A loop has at most one such socket.
 func (l *Loop) ListenPacket(address string, onPacket func(from net.Addr, b []byte)) (*PacketConn, error) {
@@ -22,12 +36,44 @@
 	if err != nil {
 		return nil, err
 	}
-	l.onPacket = onPacket
-	nb, err := l.engine.AddConn(udp)
+	nb, err := nbio.NBConn(udp)
 	if err != nil {
 		return nil, err
 	}
-	return &PacketConn{nb}, nil
+	p := &PacketConn{loop: l, nb: nb, onPacket: onPacket, buffer: make([]byte, maxPacketSize)}
+	l.mu.Lock() // see syncWithEngine
+	l.packets = p
+	l.mu.Unlock()
+	if _, err := l.engine.AddConn(nb); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// arrived queues a turn, unless one is queued already. It may be called on any goroutine.
+func (p *PacketConn) arrived() {
+	if p.queued.CompareAndSwap(false, true) {
+		p.loop.Post(p.takeTurn)
+	}
+}
+
+// takeTurn handles the next datagrams.
+func (p *PacketConn) takeTurn() {
+	p.queued.Store(false) // before the reads: a datagram that arrives after the last of them queues another turn
+	for range maxPackets {
+		buffer := p.buffer
+		from, n, err := p.nb.ReadAndGetConn(&buffer)
+		if errors.Is(err, syscall.EAGAIN) || errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || n <= 0 {
+			continue // an empty datagram, or an error that the system reports once
+		}
+		if addr, isUDP := from.RemoteAddr().(*net.UDPAddr); isUDP {
+			p.onPacket(addr, append([]byte(nil), buffer[:n]...))
+		}
+	}
+	p.arrived()
 }
 
 // Send sends one datagram from the socket's own address. Like any datagram, it may be lost.
