eventloop: an accepted connection counts as open until the loop has handled its end

Callers would see: clients that connect and leave at full speed take memory and rounds of the loop without a bound.

Cause: the limit on accepted connections let the next one in as soon as the engine had closed a socket. That it came and went was still in the queue.

Evidence: TestConnectionsCountAsOpenUntilTheirEndIsHandled, before: 3 connections count with four unhandled ends in the queue, want 4.

Change: the engine posts releasedEvent when a socket is closed, and the loop frees the place when it handles that.

Why it works: the queue holds no more arrivals and ends than there are places, however fast clients come and go.

--- a/internal/eventloop/acceptlimiter.go
+++ b/internal/eventloop/acceptlimiter.go
@@ -109,7 +109,8 @@
 	return net.FileConn(file)
 }
 
-// opened and closed update the number of open accepted connections.
+// opened and closed update the number of open accepted connections. A connection counts as open until the loop has
+// handled its end, so that peers that connect and leave do not fill the queue of the loop.
 func (a *acceptLimiter) opened() { a.addOpen(1) }
 func (a *acceptLimiter) closed() { a.addOpen(-1) }
 
--- a/internal/eventloop/acceptlimiter_test.go
+++ b/internal/eventloop/acceptlimiter_test.go
@@ -55,3 +55,26 @@
 		t.Error("a connection was accepted after StopListening had called done")
 	}
 }
+
+// Peers that connected and left filled the queue without end, because a connection no longer counted as soon as its
+// socket was closed.
+func TestConnectionsCountAsOpenUntilTheirEndIsHandled(t *testing.T) {
+	const limit = 4
+	l := startLimitedLoop(t, limit, func(*Conn) Handler { return newTestHandler() })
+	l.onLoop(func() {
+		for range limit {
+			_ = connect(t, l).Close() // the poll shows a failure
+		}
+		pollUntil(t, "the ends", func() bool { return l.queuedEvents(releasedEvent) == limit })
+		l.acceptLimiter.mu.Lock()
+		defer l.acceptLimiter.mu.Unlock()
+		if l.acceptLimiter.open != limit {
+			t.Errorf("%d connections count as open before their end is handled, want %d", l.acceptLimiter.open, limit)
+		}
+	})
+	pollUntil(t, "room for others", func() bool {
+		l.acceptLimiter.mu.Lock()
+		defer l.acceptLimiter.mu.Unlock()
+		return l.acceptLimiter.open == 0
+	})
+}
--- a/internal/eventloop/engine.go
+++ b/internal/eventloop/engine.go
@@ -39,10 +39,7 @@
 	if !ok {
 		return
 	}
-	if c.accepted {
-		l.acceptLimiter.closed()
-	}
-	l.post(event{conn: c, kind: closedEvent, err: err})
+	l.post(event{conn: c, kind: releasedEvent, err: err})
 }
 
 // engineWritten is called by the engine when the kernel has accepted n bytes.
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -70,7 +70,7 @@
 	conn *Conn
 	kind eventKind
 	data []byte // of a readEvent
-	err  error  // of a closedEvent
+	err  error  // of a closedEvent or releasedEvent
 	call func() // of a callEvent
 }
 
@@ -79,8 +79,9 @@
 const (
 	callEvent eventKind = iota
 	readEvent
-	turnEvent   // the loop reads the connection from now on
-	closedEvent // the peer or the network has ended the connection
+	turnEvent     // the loop reads the connection from now on
+	closedEvent   // the peer or the network has ended the connection
+	releasedEvent // the socket was closed
 )
 
 // New returns a loop for the given maximum number of descriptors and of bytes that were read and are not handled yet.
@@ -213,6 +214,11 @@
 		c.deliver(ev.data)
 	case turnEvent:
 		l.startTurns(c)
+	case releasedEvent:
+		if c.accepted {
+			l.acceptLimiter.closed()
+		}
+		c.ended(ev.err)
 	case closedEvent:
 		c.ended(ev.err)
 	}
