frontend: a client's input is handled in turns, and asking for encryption has its time

Cause: all messages of a read were handled before anything else, up to 8,192 of them, each answered by a system call. The limit of commands ahead does not hold before the startup message.

After 16 messages the next turn is queued behind the events of all others, and the socket is not read until then. A request for encryption after the time for the startup message ends the connection with an error, in the order of the input. Bytes of the pipeline are counted as they come and go and no longer added up each time.

Why it works: what one client gets of a round of the loop is bounded, whatever it sends and whether or not it has started.

--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -8,9 +8,6 @@
 	"cloverrock/internal/pgwire"
 )
 
-// maxPipelined is the number of commands that may be queued for one client.
-const maxPipelined = 64
-
 // client is one client connection. It implements eventloop.Handler and gateway.Client.
 type client struct {
 	server *Server
@@ -29,10 +26,11 @@
 	cancelID     uint32 // process id sent in BackendKeyData; 0 if none was assigned
 	cancelSecret [4]byte
 
-	partial      []byte    // an incomplete message
-	partialSince int64     // when the first byte of partial arrived
-	pipeline     []command // queued commands, in the order of arrival
-	heldBytes    int       // this client's part of Server.heldBytes
+	input
+	pipeline      []command // queued commands, in the order of arrival
+	pipelineBytes int       // of the texts of queued commands
+	turnQueued    bool      // a turn of this client is queued on the event loop
+	heldBytes     int       // this client's part of Server.heldBytes
 
 	awaitingAnswer  bool   // a request is in flight
 	requestID       int64  // id of the request in the gateway; 0 if there is none
@@ -52,81 +50,6 @@
 	err        error // a framing error; no further message can be parsed, so this is the last command
 }
 
-// Data implements eventloop.Handler.
-func (c *client) Data(data []byte) {
-	if c.terminated || c.framingLost() {
-		return
-	}
-	now := c.server.loop.Now()
-	if len(c.partial) == 0 {
-		c.partialSince = now
-	} else {
-		data = append(c.partial, data...)
-	}
-	c.partial = nil
-	if !c.parse(data, now) {
-		return
-	}
-	if len(c.pipeline) > 0 {
-		c.markBusy()
-	}
-	c.updateHeldBytes()
-	c.server.enforceMemoryLimit()
-	c.processPipeline()
-}
-
-func (c *client) framingLost() bool {
-	n := len(c.pipeline)
-	return n > 0 && c.pipeline[n-1].err != nil
-}
-
-// parse handles the messages in data and keeps the rest as an incomplete message. It returns false if it has ended the
-// connection.
-func (c *client) parse(data []byte, now int64) bool {
-	for len(data) > 0 {
-		rest, complete, err := c.parseMessage(data, now)
-		switch {
-		case err != nil:
-			c.pipeline = append(c.pipeline, command{receivedAt: now, err: err})
-			return true
-		case c.terminated || c.closed:
-			return false
-		case !complete:
-			c.partial = data
-			return true
-		}
-		data = rest
-	}
-	return true
-}
-
-// parseMessage handles the first message in data, unless it is incomplete, and returns what follows it. Startup messages
-// are answered; all others are queued as commands.
-func (c *client) parseMessage(data []byte, now int64) (rest []byte, complete bool, err error) {
-	if !c.started {
-		startup, rest, complete, err := pgwire.NextStartup(data)
-		if complete {
-			c.handleStartup(startup)
-		}
-		return rest, complete, err
-	}
-	message, rest, complete, err := pgwire.Next(data)
-	if complete {
-		c.queueCommand(message, now)
-	}
-	return rest, complete, err
-}
-
-// queueCommand appends a message to the pipeline, and ends the connection if that is full.
-func (c *client) queueCommand(message pgwire.Message, now int64) {
-	if len(c.pipeline) >= maxPipelined {
-		c.rejectExcessInput()
-		return
-	}
-	c.partialSince = now // of the message that may follow
-	c.pipeline = append(c.pipeline, command{kind: message.Type, text: message.Body, receivedAt: now})
-}
-
 // handleStartup answers a startup message, or an SSL, GSSAPI encryption or cancel request in its place. A cancel request
 // and an unknown protocol end the connection.
 func (c *client) handleStartup(startup pgwire.Startup) {
@@ -134,7 +57,7 @@
 	minor := startup.Code & 0xffff
 	switch {
 	case startup.Code == pgwire.SSLRequest || startup.Code == pgwire.GSSENCRequest:
-		c.conn.Write([]byte{'N'})
+		c.declineEncryption()
 		return
 	case startup.Code == pgwire.CancelRequest:
 		c.server.cancelRequest(startup.PID, startup.Secret)
@@ -148,6 +71,16 @@
 	c.conn.Write(c.appendStartupResponse(nil, startup.Code))
 }
 
+// declineEncryption answers a request for encryption. A client that goes on to ask in place of its startup message is
+// ended.
+func (c *client) declineEncryption() {
+	if c.server.loop.Now()-c.stateSince > c.server.limits.MessageTimeout {
+		c.failConnection(pgwire.CodeProtocolViolation, "no startup message was received in time")
+		return
+	}
+	c.conn.Write([]byte{'N'})
+}
+
 // serverParameters are reported to each client at startup.
 var serverParameters = [...]struct{ name, value string }{
 	{"server_version", "15.0 (cloverrock)"},
--- a/internal/frontend/closing.go
+++ b/internal/frontend/closing.go
@@ -23,9 +23,7 @@
 	}
 	c.closed = true
 	c.markBusy() // removes it from the server's lists
-	c.partial = nil
-	c.pipeline = nil
-	c.updateHeldBytes()
+	c.discardInput()
 	delete(c.server.clients, c)
 	delete(c.server.cancelKeys, c.cancelID)
 	if c.active {
@@ -56,13 +54,11 @@
 		return false
 	}
 	c.markBusy() // removes it from the server's lists
-	c.partial = nil
-	c.pipeline = nil
+	c.discardInput()
 	if c.active {
 		c.active = false
 		c.server.activeClients--
 	}
-	c.updateHeldBytes()
 	c.lingering = true
 	c.stateSince = c.server.loop.Now()
 	c.idleEntry = c.server.lingeringClients.PushBack(c)
@@ -73,7 +69,7 @@
 // client may send another request. Unless the connection is terminated, that request is accepted and answered first,
 // even if it is still unread in the socket.
 func (c *client) closeWhenFlushed() {
-	if c.closed || c.lingering || c.hasWork() { // processPipeline calls closeWhenFlushed again
+	if c.closed || c.lingering || c.hasWork() { // takeTurn calls closeWhenFlushed again
 		return
 	}
 	if !c.tryFinalClose() {
@@ -82,7 +78,7 @@
 }
 
 func (c *client) hasWork() bool {
-	return c.awaitingAnswer || len(c.partial) > 0 || len(c.pipeline) > 0
+	return c.isOwedAnswer() || c.turnQueued || len(c.unparsed) > 0
 }
 
 func (c *client) tryFinalClose() bool {
@@ -102,10 +98,8 @@
 // terminate ends the connection once all bytes written to it are flushed. Further input is ignored.
 func (c *client) terminate() {
 	c.terminated = true
-	c.pipeline = nil
-	c.partial = nil
+	c.discardInput()
 	c.stateSince = c.server.loop.Now()
 	c.markBusy()
-	c.updateHeldBytes()
 	c.closeWhenFlushed()
 }
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -55,7 +55,7 @@
 // inputExpired reports whether a message was not complete, or the first request was not sent, within MessageTimeout.
 func (c *client) inputExpired(now int64) bool {
 	timeout := c.server.limits.MessageTimeout
-	messageLate := len(c.partial) > 0 && now-c.partialSince > timeout
+	messageLate := len(c.unparsed) > 0 && now-c.unparsedSince > timeout
 	firstRequestLate := !c.active && now-c.stateSince > timeout
 	return messageLate || firstRequestLate
 }
@@ -99,7 +99,7 @@
 		if now-c.stateSince <= inputGracePeriod {
 			return false // those that follow are newer
 		}
-		if !c.started && len(c.partial) == 0 && c.closeIfDrained() {
+		if !c.started && len(c.unparsed) == 0 && c.closeIfDrained() {
 			return true
 		}
 	}
@@ -114,7 +114,7 @@
 	for _, clients := range order {
 		for entry := clients.Front(); entry != nil; entry = entry.Next() {
 			c := clientOf(entry)
-			receiving := len(c.partial) > 0 && now-c.partialSince <= inputGracePeriod
+			receiving := len(c.unparsed) > 0 && now-c.unparsedSince <= inputGracePeriod
 			if !receiving && c.closeIfDrained() {
 				return true
 			}
@@ -131,7 +131,7 @@
 	for entry != nil && s.activeClients > s.limits.ActiveConnections {
 		c := clientOf(entry)
 		entry = entry.Next() // before the client leaves the list
-		if len(c.partial) == 0 {
+		if len(c.unparsed) == 0 {
 			c.closeIfDrained()
 		}
 	}
--- a/internal/frontend/memory.go
+++ b/internal/frontend/memory.go
@@ -3,14 +3,11 @@
 import "cloverrock/internal/pgwire"
 
 // The server counts the bytes that it holds for its clients: the texts of requests in flight and of queued commands, and
-// incomplete messages. Answers that are not sent yet are limited apart from them, in sweep.
+// input that is not parsed yet. Answers that are not sent yet are limited apart from them, in sweep.
 
 // updateHeldBytes recomputes the number of bytes held for this client and updates the server's total.
 func (c *client) updateHeldBytes() {
-	n := len(c.partial) + c.requestBytes
-	for i := range c.pipeline {
-		n += len(c.pipeline[i].text)
-	}
+	n := len(c.unparsed) + c.requestBytes + c.pipelineBytes
 	c.server.heldBytes += n - c.heldBytes
 	c.heldBytes = n
 }
--- a/internal/frontend/pipeline.go
+++ b/internal/frontend/pipeline.go
@@ -24,29 +24,13 @@
 	errRequestIDInUse = errors.New("comment: id: another request has it, and is not answered yet")
 )
 
-// processPipeline executes queued commands in order until one is a request, which must be answered before the next.
-func (c *client) processPipeline() {
-	for !c.awaitingAnswer && !c.closed && len(c.pipeline) > 0 {
-		if c.conn.UnsentBytes() > maxUnsent {
-			c.retryLater(c.processPipeline)
-			break
-		}
-		cmd := c.takeCommand()
-		if cmd.err != nil {
-			c.failConnection(pgwire.CodeProtocolViolation, cmd.err.Error())
-			return
-		}
-		c.execute(cmd)
-	}
-	if c.closed {
-		return
-	}
-	c.updateHeldBytes()
-	if c.awaitingAnswer || c.terminated || len(c.pipeline) > 0 {
+// updateState records after a turn whether the connection has work, and closes it in a shutdown if it has none.
+func (c *client) updateState() {
+	if c.isOwedAnswer() || c.turnQueued {
 		return
 	}
 	c.pipeline = nil
-	if c.server.shuttingDown && len(c.partial) == 0 {
+	if c.server.shuttingDown && len(c.unparsed) == 0 {
 		c.closeWhenFlushed()
 		return
 	}
@@ -58,10 +42,15 @@
 	cmd := c.pipeline[0]
 	c.pipeline[0] = command{} // frees the text once the command is executed, not only at the end of the pipeline
 	c.pipeline = c.pipeline[1:]
+	c.pipelineBytes -= len(cmd.text)
 	return cmd
 }
 
 func (c *client) execute(cmd command) {
+	if cmd.err != nil {
+		c.failConnection(pgwire.CodeProtocolViolation, cmd.err.Error())
+		return
+	}
 	if c.skipUntilSync && cmd.kind != pgwire.MsgSync && cmd.kind != pgwire.MsgTerminate {
 		return
 	}
@@ -197,7 +186,7 @@
 		c.clearRequest()
 	}
 	c.conn.Write(pgwire.AppendReadyForQuery(answer))
-	c.server.loop.Post(c.processPipeline) // the gateway must not be called from here
+	c.queueTurn() // the gateway must not be called from here
 }
 
 // Serve implements gateway.Client.
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -121,7 +121,7 @@
 	s.shuttingDown = true
 	s.onShutdown = done
 	for c := range s.clients {
-		if c.idleEntry != nil && len(c.partial) == 0 && !c.lingering {
+		if c.idleEntry != nil && len(c.unparsed) == 0 && !c.lingering {
 			c.closeWhenFlushed()
 		}
 	}
@@ -133,7 +133,7 @@
 // itself every retryInterval until no client is left.
 func (s *Server) CloseRemaining() {
 	for c := range s.clients {
-		isReceiving := len(c.partial) > 0 && !c.awaitingAnswer && len(c.pipeline) == 0
+		isReceiving := len(c.unparsed) > 0 && !c.isOwedAnswer() && !c.turnQueued
 		if isReceiving && c.conn.InputDrained() {
 			c.failConnection(pgwire.CodeTooManyConnections, "shutting down; trying again is harmless")
 		}
