frontend: commands sent ahead beyond the limit wait in the socket, and their client stays

Cause: at the limit of places behind a client's request the client was ended, since nothing in the gateway could leave input unread.

Evidence: TestCommandsSentAheadAreAllAnswered, on the code before: of 320 small commands, or 40 of 64 KiB (which reach the memory limit in the same way), none was accepted after the connection was ended.

Change: while 64 commands or 64 KiB of them wait behind a request, the client's socket is not read; nor is that of any client that is owed an answer while half of the clients' memory is in use. Input that was left counts as received when it was first left, so that the time in the socket is part of the deadline (TestTimeInTheSocketCountsForTheDeadline, seen to fail with the time of the read in its place, by 115 and 160 us).

Why it works: TCP slows down the client that sends ahead. It is owed its answers, gets them in order, and takes no more room than before.

--- a/internal/frontend/input.go
+++ b/internal/frontend/input.go
@@ -3,14 +3,17 @@
 import "cloverrock/internal/pgwire"
 
 // A client's input is handled in turns, so that no client keeps the event loop from the others: after maxTurnCommands
-// commands, the next turn is queued behind the events of all others. Input is left in the socket while a turn is queued.
+// commands, the next turn is queued behind the events of all others. Input is left in the socket while a turn is queued
+// or the pipeline is full. A client that sends ahead is slowed down by that, and loses nothing.
 
 const (
 	// maxTurnCommands is the number of commands of one client that are executed in a turn.
 	maxTurnCommands = 16
 
-	// maxPipelined is the number of commands that may be queued for one client.
-	maxPipelined = 64
+	// maxPipelined and maxPipelinedBytes are the number of commands that may be queued for one client, and the size of
+	// their texts above which no more are queued.
+	maxPipelined      = 64
+	maxPipelinedBytes = 64 << 10
 )
 
 // input is what was received from a client and not parsed yet.
@@ -18,6 +21,7 @@
 	unparsed      []byte
 	unparsedSince int64 // when the first byte of an incomplete message in unparsed arrived
 	arrivedAt     int64 // of the messages that are parsed next
+	blocked       bool  // the next message is not parsed because the pipeline has no room
 	paused        bool  // further input is left in the socket
 }
 
@@ -26,7 +30,7 @@
 	if c.terminated || c.framingLost() {
 		return
 	}
-	earlierWaits := len(c.unparsed) > 0 && c.turnQueued
+	earlierWaits := len(c.unparsed) > 0 && (c.blocked || c.turnQueued)
 	if !earlierWaits { // otherwise the time of the earlier input counts for this, too
 		c.arrivedAt = c.arrivalTime()
 	}
@@ -123,8 +127,9 @@
 	return true
 }
 
-// parseCommands queues the messages in the input, and ends the connection if the pipeline is full.
+// parseCommands queues the messages in the input as far as the pipeline has room.
 func (c *client) parseCommands() {
+	c.blocked = false
 	for len(c.unparsed) > 0 && !c.framingLost() {
 		message, rest, complete, err := pgwire.Next(c.unparsed)
 		switch {
@@ -133,10 +138,8 @@
 			return
 		case !complete:
 			return
-		case len(c.pipeline) >= maxPipelined && c.awaitingAnswer:
-			c.rejectExcessInput()
-			return
-		case len(c.pipeline) >= maxPipelined:
+		case !c.pipelineHasRoom():
+			c.blocked = true
 			return
 		}
 		c.unparsed = rest
@@ -155,16 +158,26 @@
 	c.pipeline = append(c.pipeline, command{receivedAt: c.arrivedAt, err: err})
 }
 
+// pipelineHasRoom reports whether one more command may be queued. It always may if nothing is due to the client.
+func (c *client) pipelineHasRoom() bool {
+	if !c.isOwedAnswer() {
+		return true
+	}
+	return len(c.pipeline) < maxPipelined && c.pipelineBytes < maxPipelinedBytes && !c.server.memoryIsScarce()
+}
+
 // isOwedAnswer reports whether the client has sent a command that is not answered yet.
 func (c *client) isOwedAnswer() bool { return c.awaitingAnswer || len(c.pipeline) > 0 }
 
-// pauseOrResumeInput leaves further input in the socket while earlier input waits for the next turn.
+// pauseOrResumeInput leaves further input in the socket while earlier input has to wait, or while memory is scarce and
+// the client is due an answer, after which it is called again.
 func (c *client) pauseOrResumeInput() {
-	if c.turnQueued == c.paused {
+	pause := c.turnQueued || c.blocked || c.isOwedAnswer() && c.server.memoryIsScarce()
+	if pause == c.paused {
 		return
 	}
-	c.paused = c.turnQueued
-	if c.paused {
+	c.paused = pause
+	if pause {
 		c.conn.PauseInput()
 	} else {
 		c.conn.ResumeInput()
@@ -177,6 +190,7 @@
 	c.unparsed = nil
 	c.pipeline = nil
 	c.pipelineBytes = 0
+	c.blocked = false
 	if c.paused {
 		c.paused = false
 		c.conn.ResumeInput()
--- a/internal/frontend/memory.go
+++ b/internal/frontend/memory.go
@@ -12,6 +12,9 @@
 	c.heldBytes = n
 }
 
+// memoryIsScarce reports whether so much is held that clients that are due an answer may not send further ahead.
+func (s *Server) memoryIsScarce() bool { return s.heldBytes > s.limits.Bytes/2 }
+
 // enforceMemoryLimit ends the client that holds the most bytes if the requests, pipelined commands and incomplete
 // messages of all clients together exceed the limit.
 func (s *Server) enforceMemoryLimit() {
