frontend: at the memory limit no client is ended that is owed an answer

Callers would see: while others fill the memory that clients may use, the client with the largest request in flight is ended with 08P01 and gets no answer.

Cause: enforceMemoryLimit ended the client that held the most bytes, whatever it was owed.

Evidence: TestClientThatIsOwedAnAnswerStaysAtTheMemoryLimit, on the code before: both cases fail, the client with 600 KB in flight is ended when another sends 500 KB, of a message or of a request.

Change: at the limit a request is rejected unsent, and of the clients that are owed nothing the largest is ended, which is within a message. The others are ended only above twice the limit, so that memory stays bounded.

Why it works: whoever is owed an answer holds what the gateway has accepted; what is new gives way.

--- a/internal/frontend/memory.go
+++ b/internal/frontend/memory.go
@@ -2,6 +2,9 @@
 
 import "cloverrock/internal/pgwire"
 
+// maxMemoryExcess is the multiple of the memory limit above which also clients that are owed answers are ended.
+const maxMemoryExcess = 2
+
 // The server counts the bytes that it holds for its clients: the texts of requests in flight and of queued commands, and
 // input that is not parsed yet. Answers that are not sent yet are limited apart from them, in sweep.
 
@@ -15,17 +18,19 @@
 // memoryIsScarce reports whether so much is held that clients that are due an answer may not send further ahead.
 func (s *Server) memoryIsScarce() bool { return s.heldBytes > s.limits.Bytes/2 }
 
-// enforceMemoryLimit ends the client that holds the most bytes if the requests, pipelined commands and incomplete
-// messages of all clients together exceed the limit.
+// memoryIsFull reports whether so much is held that no further request is accepted.
+func (s *Server) memoryIsFull() bool { return s.heldBytes > s.limits.Bytes }
+
+// enforceMemoryLimit ends a client if the memory is full: of those that are owed no answer the one that holds the most
+// bytes, all of an incomplete message. Clients that are owed answers are only not read, and their requests refused. The one
+// of them that holds the most bytes is ended if that is not enough.
 func (s *Server) enforceMemoryLimit() {
-	if s.heldBytes <= s.limits.Bytes {
+	if !s.memoryIsFull() {
 		return
 	}
-	var largest *client
-	for c := range s.clients {
-		if largest == nil || c.heldBytes > largest.heldBytes {
-			largest = c
-		}
+	largest := s.largestClient(func(c *client) bool { return !c.isOwedAnswer() })
+	if largest == nil && s.heldBytes > maxMemoryExcess*s.limits.Bytes {
+		largest = s.largestClient((*client).isOwedAnswer)
 	}
 	if largest == nil {
 		return
@@ -35,6 +40,18 @@
 	largest.rejectExcessInput()
 }
 
+// largestClient returns the client that holds the most bytes of those that match, or nil if none of them holds any.
+func (s *Server) largestClient(matches func(*client) bool) (largest *client) {
+	most := 0
+	for c := range s.clients {
+		if c.heldBytes > most && matches(c) {
+			largest = c
+			most = c.heldBytes
+		}
+	}
+	return largest
+}
+
 // rejectExcessInput abandons the request in flight and ends the connection at once with an error, because the client
 // has sent more than the server may hold. Answering the queued commands first would delay the error by as long as that
 // takes.
--- a/internal/frontend/memory_test.go
+++ b/internal/frontend/memory_test.go
@@ -78,3 +78,32 @@
 		}
 	})
 }
+
+// At the memory limit the client that held the most was ended, although it was owed an answer. Whoever is owed none, or asks
+// for more, gives way.
+func TestClientThatIsOwedAnAnswerStaysAtTheMemoryLimit(t *testing.T) {
+	startup := pgwire.AppendStartup(nil, "user", "worker")
+	for name, c := range map[string]struct{ sent, want []byte }{
+		"an incomplete message": {appendSizedQuery(nil, 2, 600<<10)[:500<<10], []byte(pgwire.CodeProtocolViolation)},
+		"a further request":     {appendSizedQuery(nil, 2, 500<<10), []byte(pgwire.CodeTooManyConnections)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			loop, server, requests, peer := startServer(t)
+			writeAll(t, peer, append(startup, appendSizedQuery(nil, 1, 600<<10)...))
+			owed := requests.next(t)
+			other := connect(t, loop)
+			writeAll(t, other, startup)
+			readUntil(t, other, pgwire.AppendReadyForQuery(nil), 1)
+			onLoop(loop, func() {
+				for client := range server.clients {
+					if client != owed {
+						client.Data(c.sent) // as if received from the socket, in one piece
+					}
+				}
+			})
+			readUntil(t, other, c.want, 1)
+			onLoop(loop, func() { serveValue(owed, "v") })
+			readUntil(t, peer, []byte("SELECT 1"), 1)
+		})
+	}
+}
--- a/internal/frontend/pipeline.go
+++ b/internal/frontend/pipeline.go
@@ -137,8 +137,16 @@
 	return class, nil
 }
 
-// submit passes a request to the gateway, which may answer it before Accept returns.
+// submit passes a request to the gateway, which may answer it before Accept returns. It rejects the request if the memory
+// is full.
 func (c *client) submit(query *pgwire.Query, class Class, cmd command) {
+	c.requestBytes = len(cmd.text)
+	c.updateHeldBytes()
+	if c.server.memoryIsFull() {
+		c.requestBytes = 0
+		c.conn.Write(pgwire.AppendReadyForQuery(rejection(0)))
+		return
+	}
 	if query.Wait < 0 || query.Wait > class.Deadline { // no client of the class waits longer
 		query.Wait = class.Deadline
 	}
@@ -150,7 +158,6 @@
 	c.awaitingAnswer = true
 	c.requestID = 0
 	c.clientRequestID = query.ID
-	c.requestBytes = len(cmd.text)
 	id := c.server.gateway.Accept(gateway.Request{
 		ClientID: query.ID,
 		Class:    class.Index, Group: query.Group, SessionKey: query.KeyID(), HasSession: query.HasKey, Write: class.Write,
@@ -192,15 +199,18 @@
 // Serve implements gateway.Client.
 func (c *client) Serve(value []byte) { c.answer(value) }
 
-// Reject implements gateway.Client. The detail of the error is the time to retry after in milliseconds, rounded up.
-func (c *client) Reject(retryAfter int64) {
-	rejection := pgwire.ErrorResponse{
+// Reject implements gateway.Client.
+func (c *client) Reject(retryAfter int64) { c.answer(rejection(retryAfter)) }
+
+// rejection returns an error that allows a retry. Its detail is the time to retry after in milliseconds, rounded up.
+func rejection(retryAfter int64) []byte {
+	response := pgwire.ErrorResponse{
 		Severity: "ERROR", Code: pgwire.CodeTooManyConnections, Message: "refused; trying again is harmless",
 	}
 	if retryAfter > 0 {
-		rejection.Detail = strconv.FormatInt((retryAfter+999)/1000, 10)
+		response.Detail = strconv.FormatInt((retryAfter+999)/1000, 10)
 	}
-	c.answer(pgwire.AppendError(nil, rejection))
+	return pgwire.AppendError(nil, response)
 }
 
 // Fail implements gateway.Client.
