store: a watch that goes on at an instance that is behind does not go back

Cause: EventsSince gave the instance's own revision as that up to which the events are complete, also where it lies before the one asked for, and Node.Watch went on from there.

Evidence: TestWatchAtAStateThatIsBehindDoesNotGoBack, before: after revision 3 at a state of revision 1 "up to 1", and then revisions 2, 3 and 4.

Change: EventsSince returns no revision before the one asked for; the watch waits until the instance has it. The client leaves out what it has handled, as an instance of an earlier version may send it (TestEventsThatWereHandledAreLeftOut).

Why it works: the position of a watch only rises, at the instance and at the client, whichever instance it goes on at.

--- a/internal/store/client/client.go
+++ b/internal/store/client/client.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -270,8 +271,12 @@
 		request := &frame.Request{Op: frame.OpWatch, NS: ns, Key: prefix, After: after}
 		var handleErr error
 		conn, response, err := c.attempt(ctx, request, 0, func(part *frame.Response) error {
+			if part.Result.Revision <= after {
+				return nil // from an instance of an earlier version that is behind
+			}
+			events := eventsAfter(part.Events, after)
 			after = part.Result.Revision
-			handleErr = handle(part.Events, after, part.Result.Code != machine.RevisionCompacted)
+			handleErr = handle(events, after, part.Result.Code != machine.RevisionCompacted)
 			return handleErr
 		})
 		if handleErr != nil {
@@ -290,6 +295,15 @@
 	}
 }
 
+// eventsAfter returns the events after a revision, of events in the order of their revisions.
+func eventsAfter(events []machine.Event, after int64) []machine.Event {
+	first := slices.IndexFunc(events, func(event machine.Event) bool { return event.Revision > after })
+	if first < 0 {
+		return nil
+	}
+	return events[first:]
+}
+
 // Backup writes the latest state to w as an encoded snapshot. It is not retried, because after an error an incomplete
 // snapshot has been written to w.
 func (c *Client) Backup(ctx context.Context, w io.Writer) error {
--- a/internal/store/client/client_test.go
+++ b/internal/store/client/client_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cloverrock/internal/store/frame"
+	"cloverrock/internal/store/machine"
 )
 
 // testTimeout ends a test that hangs. The result does not depend on how long anything takes.
@@ -68,3 +69,13 @@
 		})
 	}
 }
+
+// Events that a watch has handled already, and that an instance sends again, must not be handled again.
+func TestEventsThatWereHandledAreLeftOut(t *testing.T) {
+	events := []machine.Event{{Revision: 3}, {Revision: 3}, {Revision: 4}, {Revision: 7}}
+	for after, want := range map[int64]int{0: 4, 2: 4, 3: 2, 4: 1, 6: 1, 7: 0, 9: 0} {
+		if got := eventsAfter(events, after); len(got) != want {
+			t.Errorf("after revision %d: %d events, want %d", after, len(got), want)
+		}
+	}
+}
--- a/internal/store/machine/events.go
+++ b/internal/store/machine/events.go
@@ -52,8 +52,9 @@
 }
 
 // EventsSince returns the events of a namespace and prefix after a revision, and the revision up to which they are
-// complete. It returns about limit events: the events of one revision are returned together. It reports false if events
-// after the revision were compacted: the watcher must read the keys again.
+// complete, which never lies before the revision asked for: a state that is behind has nothing to add yet. It returns
+// about limit events: the events of one revision are returned together. It reports false if events after the revision
+// were compacted: the watcher must read the keys again.
 func (m *Machine) EventsSince(ns, prefix string, after int64, limit int) (found []Event, upTo int64, ok bool) {
 	if after < m.compactedTo {
 		return nil, m.compactedTo, false
@@ -70,7 +71,7 @@
 			found = append(found, *event)
 		}
 	}
-	return found, m.revision, true
+	return found, max(m.revision, after), true
 }
 
 // CompactedTo returns the revision up to which events were dropped.
--- a/internal/store/machine/machine_test.go
+++ b/internal/store/machine/machine_test.go
@@ -174,6 +174,28 @@
 	}
 }
 
+// A watch that went on at an instance that was behind went back to its revision, and got the events after that again.
+func TestWatchAtAStateThatIsBehindDoesNotGoBack(t *testing.T) {
+	h := newHarness(t)
+	put := func() {
+		h.apply(Command{Kind: TransactionKind, Then: []Op{{Kind: Put, NS: "n", Key: "x"}}})
+	}
+	put()
+	seen := h.machine.Revision() + 2 // at another instance
+	events, upTo, ok := h.machine.EventsSince("n", "", seen, 10)
+	if !ok || len(events) != 0 || upTo != seen {
+		t.Errorf("after revision %d, which this state has not reached: %d events, complete up to %d, ok %t; want none up to %d",
+			seen, len(events), upTo, ok, seen)
+	}
+	for range 3 {
+		put()
+	}
+	events, upTo, _ = h.machine.EventsSince("n", "", upTo, 10)
+	if len(events) != 1 || events[0].Revision != seen+1 || upTo != seen+1 {
+		t.Errorf("events %+v up to %d, want only that of revision %d", events, upTo, seen+1)
+	}
+}
+
 // randomCommand returns a write, or a command of a lease, session or the clock.
 func (h *harness) randomCommand(rng *rand.Rand) Command {
 	put := Op{Kind: Put, NS: "n", Key: strconv.Itoa(rng.IntN(50)), Value: []byte(strconv.FormatUint(rng.Uint64(), 10))}
