discovery: a list is read when the loop has handled the one before

Callers would see: a service that sends lists without a pause takes memory and rounds of the loop without a bound.

Cause: the goroutine of a call posted each list to the event loop and read on at once.

Change: the goroutine waits until the loop has handled the list, the call has ended or the loop has stopped.

Why it works: one list at a time is in the queue; the rest waits in the service's connection.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -122,7 +122,7 @@
 		names:           w.config.Names,
 		responseTimeout: time.Duration(w.config.Backoff.ResponseTimeout()) * time.Microsecond,
 		silenceTimeout:  silenceTimeout * time.Microsecond,
-		onList:          func(l EndpointList) { w.loop.Post(func() { w.listReceived(number, l) }) },
+		onList:          func(l EndpointList) { w.runOnLoop(ctx, func() { w.listReceived(number, l) }) },
 		onAlive:         func() { w.loop.Post(func() { w.callAlive(number) }) },
 		onEnd: func(err error) {
 			cancel(nil)
@@ -132,6 +132,18 @@
 	go call.run(ctx, w.transport, w.url())
 }
 
+// runOnLoop runs f on the loop's goroutine and waits until it has run or the call has ended. So a service that sends lists
+// without a pause is read only as fast as the loop handles them.
+func (w *Watch) runOnLoop(ctx context.Context, f func()) {
+	done := make(chan struct{})
+	w.loop.Post(func() { f(); close(done) })
+	select {
+	case <-done:
+	case <-ctx.Done():
+	case <-w.loop.Done():
+	}
+}
+
 func (w *Watch) url() string {
 	url := fmt.Sprintf("http://%s/api/targets", w.config.Address)
 	if w.config.PollFirst {
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -199,3 +199,30 @@
 		}
 	})
 }
+
+// Lists that a service sent without a pause filled the queue of the event loop, which every other connection shares.
+func TestServiceIsReadAsFastAsItsListsAreHandled(t *testing.T) {
+	const sent = 20
+	runWatch(t, NewBackoff(1, false, 1), 7, func(s *testWatch) {
+		call := <-s.calls
+		call.beginChunked()
+		held, written := make(chan struct{}), 0
+		s.loop.Post(func() { <-held })
+		s.background.Go(func() {
+			for i := range sent {
+				call.writeChunk(listOfGeneration(41 + i))
+				written++
+			}
+		})
+		synctest.Wait() // all goroutines wait
+		if written > sent/2 {
+			t.Errorf("%d of %d lists were read while the loop handled none of them", written, sent)
+		}
+		close(held)
+		for i := range sent {
+			if list := <-s.lists; list.Generation != int64(41+i) {
+				t.Errorf("list %d has the generation %d, want %d", i, list.Generation, 41+i)
+			}
+		}
+	})
+}
