--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -118,11 +118,12 @@
 	address := w.config.Address
 	ctx, cancel := context.WithCancelCause(context.Background())
 	w.cancelCall = cancel
+	callEnded := ctx.Done()
 	call := &stream{
 		names:           w.config.Names,
 		responseTimeout: time.Duration(w.config.Backoff.ResponseTimeout()) * time.Microsecond,
 		silenceTimeout:  silenceTimeout * time.Microsecond,
-		onList:          func(l EndpointList) { w.runOnLoop(ctx, func() { w.listReceived(number, l) }) },
+		onList:          func(l EndpointList) { w.runOnLoop(callEnded, func() { w.listReceived(number, l) }) },
 		onAlive:         func() { w.loop.Post(func() { w.callAlive(number) }) },
 		onEnd: func(err error) {
 			cancel(nil)
@@ -132,14 +133,14 @@
 	go call.run(ctx, w.transport, w.url())
 }
 
-// runOnLoop runs f on the loop's goroutine and waits until it has run or the call has ended. So a service that sends lists
+// runOnLoop runs f on the loop's goroutine and waits until it has run, or until the call has ended. So a service that sends lists
 // without a pause is read only as fast as the loop handles them.
-func (w *Watch) runOnLoop(ctx context.Context, f func()) {
+func (w *Watch) runOnLoop(callEnded <-chan struct{}, f func()) {
 	done := make(chan struct{})
 	w.loop.Post(func() { f(); close(done) })
 	select {
 	case <-done:
-	case <-ctx.Done():
+	case <-callEnded:
 	case <-w.loop.Done():
 	}
 }
