store: a peer that sends without a pause takes 256 places of the inbox and not all

Callers would see: calls to an instance wait behind the messages of one peer.

Cause: receiveFromPeer passed each message to the owner's inbox, which all peers share, as long as it had room.

Change: a connection's message takes one of its 256 places until the owner has handled it; beyond them the connection is not read.

Why it works: the places of others stay free, and TCP slows the peer down.

--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -94,7 +94,7 @@
 	transport *transport.Transport
 	listener  net.Listener
 
-	inbox    chan core.Envelope
+	inbox    chan peerMessage
 	tasks    chan func()   // run by the owner
 	stop     chan struct{} // closed to make the instance stop
 	stopOnce sync.Once
@@ -133,7 +133,7 @@
 		log:       conf.Log.With().Str("store", conf.Name).Logger(),
 		dir:       dir,
 		store:     store,
-		inbox:     make(chan core.Envelope, inboxSize),
+		inbox:     make(chan peerMessage, inboxSize),
 		tasks:     make(chan func(), taskQueueSize),
 		stop:      make(chan struct{}),
 		ended:     make(chan struct{}),
--- a/internal/store/node/run.go
+++ b/internal/store/node/run.go
@@ -47,9 +47,7 @@
 		case <-n.stop:
 			return
 		case <-tick.C:
-			if n.stalledWork == nil {
-				n.core.Tick()
-			}
+			n.tick()
 		case message := <-n.inbox:
 			n.step(message)
 		case task := <-n.tasks:
@@ -76,13 +74,21 @@
 	}
 }
 
-// step passes a message to the core. While the disk is full, messages are dropped.
-func (n *Node) step(message core.Envelope) {
+// tick advances the core's clock, unless the disk is full.
+func (n *Node) tick() {
 	if n.stalledWork == nil {
-		n.core.Step(message)
+		n.core.Tick()
 	}
 }
 
+// step passes a peer's message to the core. While the disk is full, messages are dropped.
+func (n *Node) step(message peerMessage) {
+	if n.stalledWork == nil {
+		n.core.Step(message.Envelope)
+	}
+	<-message.places
+}
+
 // shutdown stops all goroutines, answers the waiting calls and closes the files.
 func (n *Node) shutdown() {
 	n.cancel()
--- a/internal/store/node/server.go
+++ b/internal/store/node/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"time"
 
+	"cloverrock/internal/store/core"
 	"cloverrock/internal/store/frame"
 	"cloverrock/internal/store/pki"
 	"cloverrock/internal/store/transport"
@@ -19,6 +20,7 @@
 	helloTimeout    = 3 * time.Second // for the handshake and the hello
 	peerIdleTimeout = 2 * time.Minute // a peer's connection that carries no message for this long is closed
 	acceptRetry     = 100 * time.Millisecond
+	maxPeerMessages = 256      // messages of one peer's connection that the owner has not processed yet
 	maxHello        = 4 << 10  // bytes
 	readBuffer      = 32 << 10 // bytes
 	welcomeFormat   = 1        // format version of the Welcome
@@ -149,9 +151,17 @@
 	return nil
 }
 
+// peerMessage is a message that waits for the owner. It takes one of the places of its connection, which the owner
+// frees by receiving from the channel.
+type peerMessage struct {
+	core.Envelope
+	places <-chan struct{}
+}
+
 // receiveFromPeer passes a peer's messages to the owner until the connection ends.
 func (n *Node) receiveFromPeer(conn net.Conn, reader *bufio.Reader, from uint64) error {
 	var buffer []byte
+	places := make(chan struct{}, maxPeerMessages)
 	for {
 		if err := conn.SetReadDeadline(time.Now().Add(peerIdleTimeout)); err != nil {
 			return err
@@ -171,14 +181,28 @@
 		if n.view.Load().removed[from] {
 			return transport.ErrRemoved
 		}
-		select {
-		case n.inbox <- message:
-		case <-n.stop:
+		if !n.deliver(message, places) {
 			return nil
 		}
 	}
 }
 
+// deliver passes a message to the owner, after waiting for one of the places of its connection. It reports false if the
+// instance is stopping.
+func (n *Node) deliver(message core.Envelope, places chan struct{}) bool {
+	select {
+	case places <- struct{}{}:
+	case <-n.stop:
+		return false
+	}
+	select {
+	case n.inbox <- peerMessage{message, places}:
+		return true
+	case <-n.stop:
+		return false
+	}
+}
+
 // protocolError returns the error of a read only if the remote end violated the protocol. The end of a connection is not
 // an error.
 func protocolError(err error) error {
