store: queued calls and messages do not keep an instance from its ticks

Callers would see: under many queued calls an instance is late with its heartbeats and loses its lead.

Cause: drainQueues handled up to 512 messages and calls in a row without a look at the clock; with calls of 10 ms each that is 5 s.

Evidence: TestTickIsHandledBetweenTasks, without the change: "task task", the tick after both.

Change: the row ends when a tick is due.

Why it works: between two ticks there is at most one message or call that is late, whatever is queued.

Result: the test passes (20 of 20), and the package's tests, also with the race detector.

--- a/internal/store/node/run.go
+++ b/internal/store/node/run.go
@@ -53,16 +53,23 @@
 		case task := <-n.tasks:
 			task()
 		}
-		n.drainQueues()
+		n.drainQueues(tick.C, n.tick)
 		if err := n.process(); err != nil {
 			n.fail(err)
 		}
 	}
 }
 
-// drainQueues processes the messages and tasks that are already queued, so that one sync covers all of them.
-func (n *Node) drainQueues() {
+// drainQueues processes the messages and tasks that are already queued, so that one sync covers all of them. It ends when
+// a tick is due, because heartbeats and elections depend on ticks, however many tasks clients queue.
+func (n *Node) drainQueues(ticks <-chan time.Time, onTick func()) {
 	for range maxBatch {
+		select {
+		case <-ticks:
+			onTick()
+			return
+		default:
+		}
 		select {
 		case message := <-n.inbox:
 			n.step(message)
