store: clients leave 32 of the 128 connections of an instance to other instances

Callers would see: clients that open connections without end take all places, and another instance that reconnects is closed at once: the store is without it.

Cause: instances and clients share maxConnections, and whoever came first had the places.

Evidence: TestClientsLeavePlacesForInstances, before: 128 of 128 connections of clients were accepted, and an instance got EOF.

Change: clients take 96 together. A further one gets a Welcome with an error, and its client goes to the next instance.

Why it works: a connection says who it is before it gets a lasting place.

--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -114,6 +114,7 @@
 	view        atomic.Pointer[clusterView]
 	watchers    *broadcast
 	connections atomic.Int64
+	clients     atomic.Int64 // of these, connections of clients
 }
 
 // Open opens the directory and starts the instance. The error wraps disk.ErrEmpty if the directory has no identity, and
--- a/internal/store/node/server.go
+++ b/internal/store/node/server.go
@@ -17,6 +17,7 @@
 
 const (
 	maxConnections  = 128             // concurrent connections of instances and clients together
+	maxClients      = 96              // of these, connections of clients
 	helloTimeout    = 3 * time.Second // for the handshake and the hello
 	peerIdleTimeout = 2 * time.Minute // a peer's connection that carries no message for this long is closed
 	acceptRetry     = 100 * time.Millisecond
@@ -88,6 +89,10 @@
 	if err != nil {
 		return err
 	}
+	if !hello.Peer {
+		defer n.clients.Add(-1)
+		n.clients.Add(1)
+	}
 	if err := n.answerHello(conn, hello, owner, role); err != nil {
 		return err
 	}
@@ -110,7 +115,7 @@
 	return hello, frame.DecodeValue(body, hello)
 }
 
-// answerHello sends the Welcome for a Hello. It returns an error if the peer is refused.
+// answerHello sends the Welcome for a Hello. It returns an error if the peer or client is refused.
 func (n *Node) answerHello(conn net.Conn, hello *frame.Hello, owner string, role pki.Role) error {
 	view := n.view.Load()
 	welcome := frame.Welcome{Format: welcomeFormat, Cluster: view.cluster, Name: n.conf.Name}
@@ -119,12 +124,14 @@
 			welcome.Error = err.Error()
 			welcome.Final = errors.Is(err, transport.ErrRemoved)
 		}
+	} else if n.clients.Load() > maxClients {
+		welcome.Error = "store: this instance has too many clients"
 	}
 	if err := frame.Write(conn, frame.WelcomeKind, &welcome); err != nil {
 		return err
 	}
 	if welcome.Error != "" {
-		return fmt.Errorf("peer %s (%016x) was refused: %s", owner, hello.ID, welcome.Error)
+		return fmt.Errorf("%s (%016x) was refused: %s", owner, hello.ID, welcome.Error)
 	}
 	return nil
 }
--- a/internal/store/node/server_test.go
+++ b/internal/store/node/server_test.go
@@ -72,3 +72,23 @@
 	cl.waitUntil("all connections are released", func() bool { return cl.nodes[0].connections.Load() <= 1 })
 	cl.put(cl.client("operator"), "k", "after")
 }
+
+// Clients that opened connections without end took the places of instances, which could not reconnect.
+func TestClientsLeavePlacesForInstances(t *testing.T) {
+	cl := startCluster(t, 1)
+	accepted := 0
+	for range maxConnections {
+		conn, _, err := transport.Dial(cl.ctx, cl.confs[0].Listen, cl.tls("operator"), frame.Hello{}, "")
+		if err == nil {
+			accepted++
+			t.Cleanup(func() { _ = conn.Close() }) // the instance may have stopped
+		}
+	}
+	if accepted != maxClients {
+		t.Errorf("%d connections of clients were accepted, want %d", accepted, maxClients)
+	}
+	hello := frame.Hello{Peer: true, Cluster: testClusterID, ID: firstNodeID, Address: cl.confs[0].Listen}
+	conn, _, err := transport.Dial(cl.ctx, cl.confs[0].Listen, cl.tls("n0"), hello, "")
+	cl.must(err)
+	cl.must(conn.Close())
+}
