--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -54,10 +54,10 @@
 	wake           chan struct{}
 
 	// The fields below are used only on the loop's goroutine.
-	spareQueue []event // an emptied queue for reuse
-	turns      []*Conn // connections that the loop reads in turn
-	spareTurns []*Conn // an emptied list for reuse
-	turnBuffer []byte
+	spareQueue []event     // an emptied queue for reuse
+	turns      []*Conn     // connections that the loop reads in turn
+	spareTurns []*Conn     // an emptied list for reuse
+	turnBuffer []byte      // for reads of connections and datagrams
 	packets    *PacketConn // nil if there is no UDP socket
 	timers     timers
 	stopped    bool
--- a/internal/eventloop/packet.go
+++ b/internal/eventloop/packet.go
@@ -13,16 +13,12 @@
 // maxPackets is the number of datagrams that are handled in one turn before connections are served.
 const maxPackets = 3
 
-// maxPacketSize is the number of bytes of a datagram that are read; the rest of a longer one is dropped.
-const maxPacketSize = 64 << 10
-
 // PacketConn is a UDP socket. The loop reads it in turns of at most maxPackets datagrams. Further ones wait in the
 // socket, and the system drops those for which it has no room.
 type PacketConn struct {
 	loop     *Loop
 	nb       *nbio.Conn
 	onPacket func(from net.Addr, b []byte)
-	buffer   []byte
 	queued   atomic.Bool // a turn is queued
 }
 
@@ -38,9 +34,10 @@
 	}
 	nb, err := nbio.NBConn(udp)
 	if err != nil {
+		_ = udp.Close() // the error of the engine is returned
 		return nil, err
 	}
-	p := &PacketConn{loop: l, nb: nb, onPacket: onPacket, buffer: make([]byte, maxPacketSize)}
+	p := &PacketConn{loop: l, nb: nb, onPacket: onPacket}
 	l.mu.Lock() // see syncWithEngine
 	l.packets = p
 	l.mu.Unlock()
@@ -61,7 +58,7 @@
 func (p *PacketConn) takeTurn() {
 	p.queued.Store(false) // before the reads: a datagram that arrives after the last of them queues another turn
 	for range maxPackets {
-		buffer := p.buffer
+		buffer := p.loop.turnBuffer
 		from, n, err := p.nb.ReadAndGetConn(&buffer)
 		if errors.Is(err, syscall.EAGAIN) || errors.Is(err, net.ErrClosed) {
 			return
