eventloop: datagrams are read on a goroutine of their own, which no sent datagram wakes

Cause, as far as these runs show: an edge-triggered poller also waits for room to write, and the system reports that for a UDP socket each time a sent datagram has left it. The gateways send many datagrams.

Change: the UDP socket blocks, a goroutine reads it and queues at most three datagrams for the loop. An error that ends it is logged.

--- a/internal/eventloop/engine.go
+++ b/internal/eventloop/engine.go
@@ -11,9 +11,7 @@
 
 // engineOpened is called by the engine, on its accepting goroutine, for a new connection.
 func (l *Loop) engineOpened(nb *nbio.Conn, accept func(*Conn) Handler) {
-	_, isUDP := nb.RemoteAddr().(*net.UDPAddr)
-	isDialed := nb.Session() != nil
-	if isUDP || isDialed {
+	if isDialed := nb.Session() != nil; isDialed {
 		return
 	}
 	c := &Conn{loop: l, nb: nb, accepted: true}
@@ -28,9 +26,7 @@
 	l.syncWithEngine()
 	if c, ok := nb.Session().(*Conn); ok {
 		l.readArrived(c)
-		return
 	}
-	l.packets.arrived()
 }
 
 // engineClosed is called by the engine after it has closed a socket.
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -57,7 +57,7 @@
 	spareQueue []event     // an emptied queue for reuse
 	turns      []*Conn     // connections that the loop reads in turn
 	spareTurns []*Conn     // an emptied list for reuse
-	turnBuffer []byte      // for reads of connections and datagrams
+	turnBuffer []byte      // for the reads in turns
 	packets    *PacketConn // nil if there is no UDP socket
 	timers     timers
 	stopped    bool
@@ -256,5 +256,8 @@
 	l.ended = true
 	l.mu.Unlock()
 	l.queueFreed.Broadcast()
+	if l.packets != nil {
+		l.packets.close()
+	}
 	l.engine.Stop()
 }
--- a/internal/eventloop/packet.go
+++ b/internal/eventloop/packet.go
@@ -2,86 +2,103 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
-	"sync/atomic"
 	"syscall"
-
-	"github.com/lesismal/nbio"
 )
 
-// maxPackets is the number of datagrams that are handled in one turn before connections are served.
-const maxPackets = 3
+const (
+	// maxPackets is the number of datagrams that may be queued for the loop.
+	maxPackets = 3
+
+	// maxPacketSize is the number of bytes of a datagram that are read; the rest of a longer one is dropped.
+	maxPacketSize = 4 << 10
+)
 
-// PacketConn is a UDP socket. The loop reads it in turns of at most maxPackets datagrams. Further ones wait in the
+// PacketConn is a UDP socket. It is read on a goroutine of its own, because an edge-triggered poller would be woken by
+// each datagram that the socket has sent. At most maxPackets datagrams wait for the loop. Further ones wait in the
 // socket, and the system drops those for which it has no room.
 type PacketConn struct {
-	loop     *Loop
-	nb       *nbio.Conn
-	onPacket func(from net.Addr, b []byte)
-	queued   atomic.Bool // a turn is queued
+	loop   *Loop
+	fd     int // blocks in reads
+	places chan struct{}
 }
 
-// ListenPacket opens a UDP socket; onPacket is called for each datagram. A loop has at most one such socket.
+// ListenPacket opens a UDP socket; onPacket is called on the loop's goroutine for each datagram. A loop has at most one
+// such socket.
 func (l *Loop) ListenPacket(address string, onPacket func(from net.Addr, b []byte)) (*PacketConn, error) {
 	addr, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, err
 	}
-	udp, err := net.ListenUDP("udp4", addr)
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_DGRAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("open a UDP socket: %w", err)
 	}
-	nb, err := nbio.NBConn(udp)
-	if err != nil {
-		_ = udp.Close() // the error of the engine is returned
-		return nil, err
+	local := addr.AddrPort()
+	if !local.Addr().IsValid() { // a port alone
+		local = netip.AddrPortFrom(netip.IPv4Unspecified(), local.Port())
 	}
-	p := &PacketConn{loop: l, nb: nb, onPacket: onPacket}
-	l.mu.Lock() // see syncWithEngine
-	l.packets = p
-	l.mu.Unlock()
-	if _, err := l.engine.AddConn(nb); err != nil {
-		return nil, err
+	if err := syscall.Bind(fd, socketAddress(local)); err != nil {
+		_ = syscall.Close(fd) // the error of bind is returned
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	p := &PacketConn{loop: l, fd: fd, places: make(chan struct{}, maxPackets)}
+	l.packets = p
+	go p.receive(onPacket)
 	return p, nil
 }
 
-// arrived queues a turn, unless one is queued already. It may be called on any goroutine.
-func (p *PacketConn) arrived() {
-	if p.queued.CompareAndSwap(false, true) {
-		p.loop.Post(p.takeTurn)
-	}
-}
-
-// takeTurn handles the next datagrams.
-func (p *PacketConn) takeTurn() {
-	p.queued.Store(false) // before the reads: a datagram that arrives after the last of them queues another turn
-	for range maxPackets {
-		buffer := p.loop.turnBuffer
-		from, n, err := p.nb.ReadAndGetConn(&buffer)
-		if errors.Is(err, syscall.EAGAIN) || errors.Is(err, net.ErrClosed) {
+// receive passes datagrams to the loop until the socket or the loop ends.
+func (p *PacketConn) receive(onPacket func(from net.Addr, b []byte)) {
+	defer func() { _ = syscall.Close(p.fd) }() // nothing is sent any more
+	buffer := make([]byte, maxPacketSize)
+	for {
+		n, from, err := syscall.Recvfrom(p.fd, buffer, 0)
+		sender, isIPv4 := from.(*syscall.SockaddrInet4)
+		switch {
+		case errors.Is(err, syscall.EINTR), errors.Is(err, syscall.ECONNREFUSED): // the latter of an earlier datagram
+			continue
+		case err != nil:
+			p.loop.log.Error().Err(err).Msg("eventloop: read of datagrams failed, no more are received")
+			return
+		case !isIPv4: // the socket was shut down
 			return
 		}
-		if err != nil || n <= 0 {
-			continue // an empty datagram, or an error that the system reports once
-		}
-		if addr, isUDP := from.RemoteAddr().(*net.UDPAddr); isUDP {
-			p.onPacket(addr, append([]byte(nil), buffer[:n]...))
+		select {
+		case p.places <- struct{}{}:
+		case <-p.loop.done:
+			return
 		}
+		data := append([]byte(nil), buffer[:n]...)
+		addr := net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.AddrFrom4(sender.Addr), uint16(sender.Port)))
+		p.loop.Post(func() {
+			<-p.places
+			onPacket(addr, data)
+		})
 	}
-	p.arrived()
 }
 
-// Send sends one datagram from the socket's own address. Like any datagram, it may be lost.
-func (p *PacketConn) Send(to netip.AddrPort, b []byte) error {
-	raw, err := p.nb.SyscallConn()
+// address returns the local address.
+func (p *PacketConn) address() (string, error) {
+	name, err := syscall.Getsockname(p.fd)
 	if err != nil {
-		return err
+		return "", err
+	}
+	local, isIPv4 := name.(*syscall.SockaddrInet4)
+	if !isIPv4 {
+		return "", errNotIPv4
 	}
-	var sendErr error
-	err = raw.Control(func(fd uintptr) {
-		sendErr = syscall.Sendto(int(fd), b, syscall.MSG_DONTWAIT, socketAddress(to))
-	})
-	return errors.Join(err, sendErr)
+	return netip.AddrPortFrom(netip.AddrFrom4(local.Addr), uint16(local.Port)).String(), nil
+}
+
+// close ends receive, which closes the socket.
+func (p *PacketConn) close() {
+	_ = syscall.Shutdown(p.fd, syscall.SHUT_RDWR) // reports an unconnected socket, and wakes the read all the same
+}
+
+// Send sends one datagram from the socket's own address. Like any datagram, it may be lost.
+func (p *PacketConn) Send(to netip.AddrPort, b []byte) error {
+	return syscall.Sendto(p.fd, b, syscall.MSG_DONTWAIT, socketAddress(to))
 }
