eventloop: the UDP socket is closed by its owner, and not under its senders

Callers would see: after an error of the read of datagrams, gossip is sent on a descriptor that is closed, and that another connection may have by then; at the end of a loop, shutting down the socket could hit another one. Found by reading the change once more; not seen.

Cause: the goroutine that reads the socket closed it when it ended, while Send and close still used its number.

Evidence: TestPacketSocketStaysOpenWhenItsReadsHaveEnded, with the close in its old place: bad file descriptor.

Change: close, after the loop has ended, ends the reads, waits for that and then closes the descriptor.

--- a/internal/eventloop/packet.go
+++ b/internal/eventloop/packet.go
@@ -21,8 +21,9 @@
 // socket, and the system drops those for which it has no room.
 type PacketConn struct {
 	loop   *Loop
-	fd     int // blocks in reads
+	fd     int // blocks in reads; open until close, because Send may use it
 	places chan struct{}
+	ended  chan struct{} // closed when receive has ended
 }
 
 // ListenPacket opens a UDP socket; onPacket is called on the loop's goroutine for each datagram. A loop has at most one
@@ -44,7 +45,7 @@
 		_ = syscall.Close(fd) // the error of bind is returned
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	p := &PacketConn{loop: l, fd: fd, places: make(chan struct{}, maxPackets)}
+	p := &PacketConn{loop: l, fd: fd, places: make(chan struct{}, maxPackets), ended: make(chan struct{})}
 	l.packets = p
 	go p.receive(onPacket)
 	return p, nil
@@ -52,7 +53,7 @@
 
 // receive passes datagrams to the loop until the socket or the loop ends.
 func (p *PacketConn) receive(onPacket func(from net.Addr, b []byte)) {
-	defer func() { _ = syscall.Close(p.fd) }() // nothing is sent any more
+	defer close(p.ended)
 	buffer := make([]byte, maxPacketSize)
 	for {
 		n, from, err := syscall.Recvfrom(p.fd, buffer, 0)
@@ -93,9 +94,11 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(local.Addr), uint16(local.Port)).String(), nil
 }
 
-// close ends receive, which closes the socket.
+// close ends receive and closes the socket. It must be called after the loop has ended, when nothing is sent any more.
 func (p *PacketConn) close() {
 	_ = syscall.Shutdown(p.fd, syscall.SHUT_RDWR) // reports an unconnected socket, and wakes the read all the same
+	<-p.ended
+	_ = syscall.Close(p.fd) // a UDP socket has no data to lose
 }
 
 // Send sends one datagram from the socket's own address. Like any datagram, it may be lost.
--- a/internal/eventloop/packet_test.go
+++ b/internal/eventloop/packet_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
 )
 
@@ -41,3 +42,19 @@
 		t.Errorf("received %q, want the peer's address and \"back\"", got)
 	}
 }
+
+// A socket whose reads had ended was closed under its senders: they used the descriptor, which another socket may have.
+func TestPacketSocketStaysOpenWhenItsReadsHaveEnded(t *testing.T) {
+	l := startLoop(t, nil)
+	var socket *PacketConn
+	var err error
+	l.onLoop(func() { socket, err = l.ListenPacket("127.0.0.1:0", nil) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = syscall.Shutdown(socket.fd, syscall.SHUT_RDWR) // reports an unconnected socket, and ends the reads
+	<-socket.ended
+	if _, err := socket.address(); err != nil {
+		t.Errorf("the descriptor is used after the reads have ended: %v, want an open socket", err)
+	}
+}
