gossip: products are rounded before they enter a sum, the same on every machine

Callers would see: gateways on arm64 and on x86-64 in one fleet whose rates, loads and health checks differ in the last bits for the same messages, and so, now and then, in what they send and decide.

Cause: the compiler for arm64 fuses a product and a sum into one instruction, which rounds once; the one for x86-64 rounds twice.

Evidence: four places in the package have such an instruction in the compiled code for arm64 (the average of the rate, that of the overload ratio, the tokens of health checks, the decoded load). With fusing turned off in the compiler, the hashes are those of the golden file.

Change: each of these products is converted, which the language defines to round. Hashes and test stay.

Result: the compiled package has no fused instruction (0, from 4 places). TestDecisionsStayTheSame failed before and passes on arm64, and passes as an x86-64 program under an emulator of that processor. Of the other functions used, Exp2 gives equal values on both for all codes on the wire; Log2 is rounded to a code.

--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -39,7 +39,7 @@
 	elapsed := float64(now-g.lastDigestAt) / 1e6
 	warmupLeft := rateWarmup/1e6 - float64(now-g.firstReportAt)/1e6
 	weight := min(1, max(elapsed, warmupLeft))
-	g.attemptRate += weight * (float64(g.started)/elapsed - g.attemptRate)
+	g.attemptRate += float64(weight * (float64(g.started)/elapsed - g.attemptRate))
 }
 
 // buildEntries returns the entries of a digest, and whether the first of them is the primary's.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -10,7 +10,8 @@
 // Correctness does not depend on which gateway coordinates a group. Two coordinators at a time are harmless, because
 // positions only increase and loads are used only from the coordinator that a gateway reports to. Without a coordinator
 // a gateway uses its own observations. Messages may be lost, delayed, duplicated or reordered. The package does no I/O,
-// reads no clock and starts no goroutine; the same calls produce the same messages.
+// reads no clock and starts no goroutine; the same calls produce the same messages, on every kind of machine: a product
+// is rounded by a conversion before it enters a sum, because some compilers otherwise fuse the two.
 package gossip
 
 import (
--- a/internal/gossip/host.go
+++ b/internal/gossip/host.go
@@ -77,7 +77,7 @@
 // RecordLatencyShare records an attempt at a host: its response time, or the time that it has been in flight so far, as
 // a share of the latency objective, and whether the host answered with an error.
 func (s *State) RecordLatencyShare(id string, share float64, failed bool) {
-	s.overloadRatio -= overloadWeight * s.overloadRatio
+	s.overloadRatio -= float64(overloadWeight * s.overloadRatio)
 	if share >= 1 {
 		s.overloadRatio += overloadWeight
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -225,7 +225,7 @@
 	if b < 16 {
 		return float64(b)
 	}
-	return 16 + 4*float64(b-16)
+	return 16 + float64(4*float64(b-16))
 }
 
 // readDigest decodes the body of a digest message.
--- a/internal/gossip/report.go
+++ b/internal/gossip/report.go
@@ -82,7 +82,7 @@
 	}
 	if host.latest.Role != Primary { // attempts at the primary are not chosen by load
 		group.started += r.started
-		group.checkTokens = min(checkTokenBurst, group.checkTokens+checkTokensPerAttempt*float64(r.started))
+		group.checkTokens = min(checkTokenBurst, group.checkTokens+float64(checkTokensPerAttempt*float64(r.started)))
 	}
 	if host.reportedCounts == nil {
 		host.reportedCounts = make([]reportedCount, s.conf.Gateways)
