--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -19,7 +19,8 @@
 
 func (g *Gateway) traceOutcome(attempt *Attempt, outcome *Outcome) {
 	g.log.Trace().Int64("request", attempt.Request).Int("attempt", attempt.Number).Str("host", attempt.Host).
-		Uint8("result", uint8(outcome.Result)).Int64("latency_ms", outcome.Latency/1000).Msg("gateway: attempt finished")
+		Uint8("result", uint8(outcome.Result)).Int64("latency_ms", outcome.Latency/1000).
+		Uint8("role", uint8(outcome.Role)).Int64("position_us", outcome.Position).Msg("gateway: attempt finished")
 }
 
 func (g *Gateway) traceEnd(id int64, message string) { g.log.Trace().Int64("request", id).Msg(message) }
