balance: a write of unknown position counts as committed at the time of its answer

The write is served; the next read of its session goes to a replica 1.5 s behind and does not show it, where the gateway remembers commits and hosts do not check reads.

Cause: a position of 0 means "unknown" in an answer and "any position will do" in a read. A write without a position was not remembered, so the session's reads asked for nothing.

Evidence: the trace of the outcome (commit before): the cut write has success and position 0, the one before it its commit.

Change: settled once, in the decisions (commitPosition): without a position a write counts as committed when its answer came. Its commit can't be later, so a replica whose position has reached that time has it.

No check was removed: the line that notes a commit moved up.

--- a/balance/api.go
+++ b/balance/api.go
@@ -190,7 +190,7 @@
 	Finished bool  // the client has been answered; the request needs no further action
 	Latency  int64 // of the attempt or health check, µs
 	Role     Role  // of the host, from its answer
-	Position int64 // log position in the answer; 0 if none
+	Position int64 // log position in the answer; for a write, of its commit; 0 if unknown
 	Report   HostReport
 
 	Token int64 // not used by decisions
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -53,6 +53,7 @@
 	rig  *routerRig
 	seed uint64
 	rand random.Source
+	cuts random.Source // decides which answers lack the host's role and position
 	log  []Action
 
 	requests map[int64]*checkedRequest
@@ -99,6 +100,7 @@
 		rig:        newRig(t, settings, threeHosts()...),
 		seed:       seed,
 		rand:       random.Source(seed * 977),
+		cuts:       random.Source(seed * 983),
 		requests:   map[int64]*checkedRequest{},
 		primary:    "a",
 		applied:    map[string]int64{"a": testStart, "b": testStart, "c": testStart},
@@ -276,7 +278,15 @@
 }
 
 // fillAnswer sets the role and position of the host in its answer, and records that the router received them.
+// One answer in statusCutShare is cut off before both; a write that it answers has succeeded all the same.
 func (c *ruleChecker) fillAnswer(event *Event, request *checkedRequest) {
+	const statusCutShare = 6
+	if event.Result == Succeeded && request.class.Consistency == Write {
+		c.commits[request.session] = c.rig.now
+	}
+	if c.cuts.Below(statusCutShare) == 0 {
+		return
+	}
 	event.Role = Replica
 	if event.Host == c.primary {
 		event.Role = Primary
@@ -286,7 +296,6 @@
 	}
 	if event.Result == Succeeded && request.class.Consistency == Write {
 		event.Position = c.rig.now
-		c.commits[request.session] = c.rig.now
 	}
 	c.known[event.Host] = max(c.known[event.Host], event.Position)
 	if event.Role == Primary {
--- a/balance/sessions.go
+++ b/balance/sessions.go
@@ -40,12 +40,21 @@
 
 // recordCommit remembers the commit of a successful write, unless requests carry the age of their session's
 // last write.
-func (r *Router) recordCommit(req *pendingRequest, position int64) {
-	if req.isWrite() && req.hasSession && position > 0 && !r.settings.RequestsCarrySessionAge {
-		r.sessions.record(req.sessionKey, position)
+func (r *Router) recordCommit(req *pendingRequest, reported int64) {
+	if req.isWrite() && req.hasSession && !r.settings.RequestsCarrySessionAge {
+		r.sessions.record(req.sessionKey, r.commitPosition(reported))
 	}
 }
 
+// commitPosition returns a position that covers a commit whose answer is being handled. Without a reported
+// position the commit counts as made now, the latest time at which it can have been made.
+func (r *Router) commitPosition(reported int64) int64 {
+	if reported <= 0 {
+		return r.now
+	}
+	return reported
+}
+
 // sessionPosition returns the log position that covers the writes of a request's session so far; 0 if a host
 // of any position may answer it.
 func (r *Router) sessionPosition(req *pendingRequest) int64 {
