balance: a role told without a position is as old as the request, not as the answer

Callers would see: reads that must be current at a former primary, although an answer had told that it is a replica.

A position of 0, unknown, was taken for "as of now" where the role in a primary's answer is dated; a role in a report without a position was taken to be one mean round trip old.

Change: both count as of the sending of their request. A replica's answer stays as of its receipt: that is the stricter choice for reads.

Tests: TestLateAnswerOfAPrimaryDoesNotUndoALaterOneAsReplica has two more cases and TestLateReportWithoutAPositionDoesNotUndoALaterAnswer is new; the three failed before. The first keeps its case with its check, in a table.

--- a/balance/health.go
+++ b/balance/health.go
@@ -155,7 +155,7 @@
 	if event.Result == Succeeded {
 		r.healthCheckRTT.add(float64(event.Latency), ewmaWeight)
 	}
-	r.recordReport(host, &event.Report)
+	r.recordReport(host, &event.Report, host.checkedAt)
 	r.dispatch(host.group)
 }
 
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -39,9 +39,13 @@
 	if event.Position > 0 {
 		r.recordPosition(host, event.Position)
 	}
-	r.recordReport(host, &event.Report)
+	var sentAt int64
+	if req != nil {
+		sentAt = req.sentAt
+	}
+	r.recordReport(host, &event.Report, sentAt)
 	if event.Result.Answered() {
-		r.recordAnswer(host, req, event)
+		r.recordAnswer(host, req, event, sentAt)
 	}
 	switch event.Result {
 	case Succeeded:
@@ -63,7 +67,7 @@
 
 // recordAnswer records what every answer shows, whatever its result: that the host is alive, and its role.
 // The request may be nil.
-func (r *Router) recordAnswer(host *hostState, req *pendingRequest, event *Event) {
+func (r *Router) recordAnswer(host *hostState, req *pendingRequest, event *Event, sentAt int64) {
 	r.markHealthy(host)
 	role := event.Role
 	if event.Result == NotPrimary && req != nil && req.isWrite() {
@@ -73,18 +77,23 @@
 		host.wasPrimary = false
 	}
 	if role != RoleUnknown {
-		r.recordRole(host, role, r.evidenceTime(role, event.Position))
+		r.recordRole(host, role, r.evidenceTime(role, event.Position, sentAt))
 	}
 	r.publishFact(host, event.Position, role)
 }
 
 // evidenceTime returns the time of which an answer shows the role of its host. The position of a primary is
-// the time at which it answered. Its answer may be complete only after a later one on another connection.
-func (r *Router) evidenceTime(role Role, position int64) int64 {
-	if role == Primary && position > 0 {
+// the time at which it answered. Its answer may be complete only after a later one on another connection, so
+// without a position it shows the role as of the time at which the request was sent.
+func (r *Router) evidenceTime(role Role, position, sentAt int64) int64 {
+	switch {
+	case role != Primary:
+		return r.now
+	case position > 0:
 		return min(r.now, position)
+	default:
+		return sentAt
 	}
-	return r.now
 }
 
 // recordSuccess records a successful answer. The request may be nil.
--- a/balance/primary.go
+++ b/balance/primary.go
@@ -27,13 +27,13 @@
 	searchingSince int64      // when the latest search began; 0 if none has begun
 }
 
-// recordReport applies a host's report of itself. The role in it is as old as the position in it, so a report
-// that arrives late does not override a newer answer.
-func (r *Router) recordReport(host *hostState, report *HostReport) {
-	asOf := r.now - int64(r.healthCheckRTT)
+// recordReport applies a host's report of itself. The role in it is as old as the position in it, or without
+// one as the request that the report came with, so a report that arrives late does not override a newer answer.
+func (r *Router) recordReport(host *hostState, report *HostReport, sentAt int64) {
+	asOf := sentAt
 	if report.HasPosition {
 		r.recordPosition(host, report.Position)
-		asOf = min(asOf, report.Position)
+		asOf = min(r.now-int64(r.healthCheckRTT), report.Position)
 	}
 	if !report.HasRole {
 		return
--- a/balance/primary_test.go
+++ b/balance/primary_test.go
@@ -120,22 +120,61 @@
 
 // An answer that a host gave as the primary, and that was complete only after a later answer of the same
 // host as a replica, made it the primary again. Reads went there although an answer had told that it is none.
+// The same happened where the late answer, or the late report, told no position.
 func TestLateAnswerOfAPrimaryDoesNotUndoALaterOneAsReplica(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(rig *routerRig, write, answeredAt int64)
+	}{
+		{"answer with a position", func(rig *routerRig, write, answeredAt int64) {
+			rig.answer(write, "a", Succeeded, Primary, answeredAt)
+		}},
+		{"answer without a position", func(rig *routerRig, write, _ int64) {
+			rig.answer(write, "a", Succeeded, Primary, 0)
+		}},
+		{"report without a position", func(rig *routerRig, write, _ int64) {
+			rig.handle(Event{
+				Kind: OutcomeEvent, Request: write, Host: "a", Result: Succeeded, Finished: true,
+				Report: HostReport{HasRole: true, Primary: true},
+			})
+		}},
+	} {
+		rig := newRig(t, testSettings(), threeHosts()...)
+		rig.reportAll(rig.now - 5000*ms)
+		rig.now += 50 * ms
+		early, actions := rig.request(unsafeWrite)
+		late, _ := rig.requestAs(sessionRead, 1, 10*ms)
+		if sentTo(actions, early) != "a" {
+			t.Fatalf("%s: want the write sent to the primary", c.name)
+		}
+		wasPrimaryAt := rig.now
+		rig.now += 50 * ms
+		rig.answer(late, "a", Succeeded, Replica, wasPrimaryAt+10*ms)
+		rig.now += 5 * ms
+		c.end(rig, early, wasPrimaryAt)
+		read, actions := rig.requestAs(sessionRead, 1, 10*ms)
+		if sentTo(actions, read) == "a" {
+			t.Errorf("%s: the read is sent to the former primary: %+v", c.name, actions)
+		}
+	}
+}
+
+// A health check's report that says nothing of its position shows the role as of the sending of the check.
+func TestLateReportWithoutAPositionDoesNotUndoALaterAnswer(t *testing.T) {
 	rig := newRig(t, testSettings(), threeHosts()...)
 	rig.reportAll(rig.now - 5000*ms)
 	rig.now += 50 * ms
-	early, actions := rig.request(unsafeWrite)
-	late, _ := rig.requestAs(sessionRead, 1, 10*ms)
-	if sentTo(actions, early) != "a" {
-		t.Fatal("want the write sent to the primary")
-	}
-	wasPrimaryAt := rig.now
+	read, _ := rig.requestAs(sessionRead, 1, 10*ms)
+	rig.router.markSuspect(rig.host("a")) // sends the health check
+	rig.now += 50 * ms
+	rig.answer(read, "a", Succeeded, Replica, rig.now-20*ms)
 	rig.now += 50 * ms
-	rig.answer(late, "a", Succeeded, Replica, wasPrimaryAt+10*ms)
-	rig.now += 5 * ms
-	rig.answer(early, "a", Succeeded, Primary, wasPrimaryAt)
-	read, actions := rig.requestAs(sessionRead, 1, 10*ms)
-	if sentTo(actions, read) == "a" {
+	rig.handle(Event{
+		Kind: HealthCheckEvent, Host: "a", Result: Succeeded, Latency: 100 * ms,
+		Report: HostReport{HasRole: true, Primary: true},
+	})
+	next, actions := rig.requestAs(sessionRead, 1, 10*ms)
+	if sentTo(actions, next) == "a" {
 		t.Errorf("the read is sent to the former primary: %+v", actions)
 	}
 }
--- a/balance/sessions_test.go
+++ b/balance/sessions_test.go
@@ -25,8 +25,8 @@
 	}
 }
 
-// A session's read missed a write whose answer told no position: for reads, the write did not exist. The commit
-// counts as made when its answer came, so a replica qualifies once its position is not before that time.
+// A session's read missed a write whose answer told no position: for reads, the write did not exist. The
+// commit counts as made when its answer came, so a replica qualifies once its position is not before that.
 func TestSessionReadFollowsAWriteOfUnknownPosition(t *testing.T) {
 	for _, role := range []Role{RoleUnknown, Primary} {
 		settings := testSettings()
