balance, discovery: a host whose zone is not known is in no zone, not in the first

Callers would see: a write whose repeats are dropped in one zone only is repeated in another zone and runs twice. Found by reading for the class of "a write of unknown position"; not seen in service.

Cause: an unknown name of a zone got index 0, that of the first zone; so did each change of the list without a zone.

Evidence: tests that failed before, each seen with its part of the change taken back: TestKeyedRetryGoesOnlyToTheZoneOfItsExecution (unknown to unknown was repeated), TestHostKeepsItsZoneWhereAChangeNamesNone (-1, want 2), a case of TestDecodeReadsListsAndNamesFaultyKeys, and one of the fleet's shares (panic).

Change: UnknownZone is equal to no zone. Such a host gets all reads by zone shares, is no evidence about a zone, and keeps a zone that an earlier list named.

--- a/balance/api.go
+++ b/balance/api.go
@@ -81,7 +81,8 @@
 // on the goroutine that calls Handle, so it must not block. A share below 1 takes effect only in groups that
 // have a healthy replica in a zone whose share is 1.
 type ZoneShares interface {
-	// ReadShare returns the part of reads, from 0 to 1, that the replicas of a zone may get.
+	// ReadShare returns the part of reads, from 0 to 1, that the replicas of a zone may get. It is 1 for
+	// UnknownZone.
 	ReadShare(zone int) float64
 }
 
@@ -95,10 +96,13 @@
 	Draining                      // gets no new requests
 )
 
+// UnknownZone is the zone of an endpoint whose zone is not known. It is equal to no zone, itself included.
+const UnknownZone = -1
+
 // Endpoint is one host in the endpoint list.
 type Endpoint struct {
 	Host      string // id of the host
-	Zone      int
+	Zone      int    // UnknownZone: as an earlier list said
 	Group     int64
 	Kind      int // not used by decisions
 	State     EndpointState
--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -76,7 +76,9 @@
 		}
 		host = r.addHost(endpoint)
 	}
-	host.zone = endpoint.Zone
+	if endpoint.Zone != UnknownZone {
+		host.zone = endpoint.Zone
+	}
 	host.state = endpoint.State
 	startedAt := min(endpoint.StartedAt, r.now) // a host clock that is ahead must not prolong slow start
 	if startedAt > host.startedAt {
@@ -118,7 +120,7 @@
 // addHost adds a host that the list names for the first time.
 func (r *Router) addHost(endpoint *Endpoint) *hostState {
 	group := r.groupOf(endpoint.Group)
-	host := &hostState{id: endpoint.Host, group: group}
+	host := &hostState{id: endpoint.Host, zone: UnknownZone, group: group}
 	host.concurrencyLimit = initialConcurrencyLimit
 	r.hosts[host.id] = host
 	r.gossip.AddHost(host.id, endpoint.Group)
--- a/balance/primary.go
+++ b/balance/primary.go
@@ -28,7 +28,7 @@
 }
 
 // recordReport applies a host's report of itself. The role in it is as old as the position in it, or without
-// one as the request that the report came with, so a report that arrives late does not override a newer answer.
+// one as the request that it came with, so a report that arrives late does not override a newer answer.
 func (r *Router) recordReport(host *hostState, report *HostReport, sentAt int64) {
 	asOf := sentAt
 	if report.HasPosition {
@@ -162,7 +162,7 @@
 	}
 	// With ScopeZone, a repeat is dropped only in the zone that may have executed the request.
 	zoneBound := req.mayHaveExecuted() && req.class.DeduplicationScope == ScopeZone
-	if zoneBound && host.zone != req.executedZone {
+	if zoneBound && (host.zone == UnknownZone || host.zone != req.executedZone) {
 		return nil
 	}
 	return host
--- a/balance/retry_test.go
+++ b/balance/retry_test.go
@@ -82,6 +82,35 @@
 	}
 }
 
+// A write whose repeats are dropped only in the zone of its execution was repeated at a host of an unknown
+// zone, as if that were the same one, and could run twice.
+func TestKeyedRetryGoesOnlyToTheZoneOfItsExecution(t *testing.T) {
+	for _, c := range []struct {
+		executedIn, retriedIn int
+		retried               bool
+	}{{1, 1, true}, {1, 2, false}, {0, UnknownZone, false}, {UnknownZone, UnknownZone, false}} {
+		settings := testSettings()
+		settings.Classes[keyedWrite].DeduplicationScope = ScopeZone
+		rig := newRig(t, settings, Endpoint{Host: "a", Zone: c.executedIn, State: Ready, Primary: true},
+			Endpoint{Host: "b", Zone: c.retriedIn, State: Ready})
+		id, _ := rig.request(keyedWrite)
+		rig.answer(id, "a", ConnectionReset, RoleUnknown, 0)
+		actions := rig.report("b", true, rig.now)
+		if got := sentTo(actions, id) == "b"; got != c.retried {
+			t.Errorf("executed in zone %d: sent to zone %d: %v", c.executedIn, c.retriedIn, got)
+		}
+	}
+}
+
+// A change that names no zone leaves a host in the zone that the list has named before.
+func TestHostKeepsItsZoneWhereAChangeNamesNone(t *testing.T) {
+	rig := newRig(t, testSettings(), Endpoint{Host: "a", Zone: 2, State: Ready})
+	rig.list(Endpoint{Host: "a", Zone: UnknownZone, State: Draining})
+	if zone := rig.host("a").zone; zone != 2 {
+		t.Errorf("the host is in zone %d, want 2", zone)
+	}
+}
+
 // A retry that was sent within the window may still wait for its connection. After the window it must not be
 // written.
 func TestKeyedRetryIsNotWrittenAfterItsWindow(t *testing.T) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -3,7 +3,7 @@
 // hostState is the state of one host. Its embedded parts are defined in the files that use them.
 type hostState struct {
 	id    string
-	zone  int
+	zone  int // UnknownZone if no list has named it
 	group *groupState
 
 	hostListing
--- a/internal/discovery/decode.go
+++ b/internal/discovery/decode.go
@@ -96,7 +96,16 @@
 	return list, nil
 }
 
-// endpoint converts the i-th instance of a list. An unknown zone or machine type counts as the first one of names.
+// zoneIndex returns the index of a zone, or balance.UnknownZone if the settings do not name it.
+func (n Names) zoneIndex(zone string) int {
+	i := slices.Index(n.Zones, zone)
+	if i < 0 {
+		return balance.UnknownZone
+	}
+	return i
+}
+
+// endpoint converts the i-th instance of a list. An unknown machine type counts as the first one of names.
 func (d *instanceDocument) endpoint(i int, names Names) (balance.Endpoint, error) {
 	state, known := lifecycles[d.Lifecycle]
 	if !known {
@@ -110,7 +119,7 @@
 	}
 	endpoint := balance.Endpoint{
 		Host:      d.InstanceID,
-		Zone:      max(slices.Index(names.Zones, d.Zone), 0),
+		Zone:      names.zoneIndex(d.Zone),
 		Group:     d.Cell,
 		Kind:      max(slices.Index(names.Kinds, d.MachineType), 0),
 		State:     state,
--- a/internal/discovery/decode_test.go
+++ b/internal/discovery/decode_test.go
@@ -23,7 +23,13 @@
 				{"instanceId":"s-2","lifecycle":"DELETED","cell":3,"rank":"copy"}]}`,
 			want: EndpointList{Generation: 41, Addresses: map[string]string{"s-1": "10.1.0.18:6543"}, Endpoints: []balance.Endpoint{
 				{Host: "s-1", Zone: 1, Kind: 1, Group: 3, State: balance.Ready, Primary: true, Weight: 1.5, StartedAt: 1767225600123e3},
-				{Host: "s-2", Group: 3, State: balance.Removed, Weight: 1},
+				{Host: "s-2", Zone: balance.UnknownZone, Group: 3, State: balance.Removed, Weight: 1},
+			}},
+		},
+		"zone that the settings do not name": {
+			document: `{"instances":[{"instanceId":"s-1","hostPort":"10.1.0.18:6543","zone":"c","lifecycle":"SERVING"}]}`,
+			want: EndpointList{Addresses: map[string]string{"s-1": "10.1.0.18:6543"}, Endpoints: []balance.Endpoint{
+				{Host: "s-1", Zone: balance.UnknownZone, State: balance.Ready, Weight: 1},
 			}},
 		},
 		"complete and empty": {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -60,7 +60,7 @@
 
 // ReadShare implements balance.ZoneShares.
 func (s *zoneShares) ReadShare(zone int) float64 {
-	if shares := *s.shares.Load(); zone < len(shares) {
+	if shares := *s.shares.Load(); zone >= 0 && zone < len(shares) {
 		return float64(shares[zone]) / zonefailover.FullShare
 	}
 	return 1
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -98,7 +98,7 @@
 	}
 	clear(c.hosts)
 	for _, endpoint := range list.Endpoints {
-		if endpoint.Zone < len(c.unitOfZone) {
+		if endpoint.Zone >= 0 && endpoint.Zone < len(c.unitOfZone) {
 			c.hosts[endpoint.Host] = hostLocation{c.unitOfZone[endpoint.Zone], endpoint.Group}
 		}
 	}
