balance: a possible execution is a value of its own, and not a time that is not zero

Found by reading for the class of "a write of unknown position"; a real gateway's clock is never 0.

Cause: executedAt, the time of the first attempt that may have run, was also the mark of whether there was one.

Change: the first such attempt is a pointer to its time and zone. Two places that set both by hand share one function now.

--- a/balance/primary.go
+++ b/balance/primary.go
@@ -162,7 +162,7 @@
 	}
 	// With ScopeZone, a repeat is dropped only in the zone that may have executed the request.
 	zoneBound := req.mayHaveExecuted() && req.class.DeduplicationScope == ScopeZone
-	if zoneBound && (host.zone == UnknownZone || host.zone != req.executedZone) {
+	if zoneBound && (host.zone == UnknownZone || host.zone != req.execution.zone) {
 		return nil
 	}
 	return host
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -14,9 +14,8 @@
 	if result != ConnectionRefused && result != NotSent {
 		req.reachedHost = true
 	}
-	if !notExecuted && !req.mayHaveExecuted() {
-		req.executedAt = req.sentAt
-		req.executedZone = req.lastHost.zone
+	if !notExecuted {
+		req.recordPossibleExecution(req.lastHost)
 	}
 	if req.attemptsSent >= r.settings.MaxAttempts {
 		r.giveUp(req)
@@ -38,7 +37,7 @@
 	if !req.mayHaveExecuted() || req.class.RetrySafety != IdempotencyKey {
 		return false
 	}
-	return now+r.maintenanceInterval() >= req.executedAt+req.class.DeduplicationWindow
+	return now+r.maintenanceInterval() >= req.execution.sentAt+req.class.DeduplicationWindow
 }
 
 // handleClientDisconnected ends a request whose client has disconnected.
--- a/balance/retry_test.go
+++ b/balance/retry_test.go
@@ -70,6 +70,25 @@
 	}
 }
 
+// A clock may begin at 0. A write that was sent at that time and may have been executed counted as not
+// executed, and was rejected as safe to repeat.
+func TestWriteSentAtTimeZeroMayHaveBeenExecuted(t *testing.T) {
+	router, err := New(testSettings(), 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rig := &routerRig{router: router, attempts: map[int64]int{}}
+	rig.listAll(threeHosts()...)
+	id, actions := rig.request(unsafeWrite)
+	if sentTo(actions, id) != "a" {
+		t.Fatal("the write was not sent")
+	}
+	rig.now += 50 * ms
+	if actions := rig.answer(id, "a", ConnectionReset, RoleUnknown, 0); !hasAction(actions, FailAction, id) {
+		t.Errorf("want the write failed: %+v", actions)
+	}
+}
+
 func TestKeyedRetryStaysInItsDeduplicationWindow(t *testing.T) {
 	rig := readyRig(t, testSettings())
 	id, _ := rig.request(keyedWrite)
--- a/balance/shutdown.go
+++ b/balance/shutdown.go
@@ -60,9 +60,6 @@
 	if r.settings.Cancellation {
 		r.emit(Action{Kind: CancelAction, Request: req.id, Attempt: req.attempt})
 	}
-	if !req.mayHaveExecuted() {
-		req.executedAt = req.sentAt
-		req.executedZone = req.host.zone
-	}
+	req.recordPossibleExecution(req.host)
 	r.giveUp(req)
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -50,8 +50,7 @@
 	overdueHalves     int   // halves of its latency objective that the attempt has taken while in flight
 	positionWaitUntil int64 // until when the read waits for health checks to report positions
 
-	executedAt   int64 // when the first attempt that may have been executed was sent; 0 if none
-	executedZone int   // zone of the host of that attempt
+	execution *possibleExecution // the first attempt that may have been executed; nil if none
 
 	hasSession  bool
 	dialed      bool // the attempt in flight needed a new connection
@@ -63,5 +62,19 @@
 // isWrite reports whether only the primary accepts the request.
 func (req *pendingRequest) isWrite() bool { return req.class.Consistency == Write }
 
+// possibleExecution is an attempt that may have been executed.
+type possibleExecution struct {
+	sentAt int64
+	zone   int // of its host
+}
+
 // mayHaveExecuted reports whether an earlier attempt may have been executed.
-func (req *pendingRequest) mayHaveExecuted() bool { return req.executedAt != 0 }
+func (req *pendingRequest) mayHaveExecuted() bool { return req.execution != nil }
+
+// recordPossibleExecution records that the latest attempt, which was sent to a host, may have been executed.
+// Only the first such attempt of a request counts.
+func (req *pendingRequest) recordPossibleExecution(host *hostState) {
+	if req.execution == nil {
+		req.execution = &possibleExecution{req.sentAt, host.zone}
+	}
+}
