zonefailover: a response time that was not measured does not count as 0

Callers would see: a returning zone that is slow for its load gets the next step and more load, since gateways that have seen only its health checks counted as having found it fast. Found by reading for the class of "a write of unknown position"; not seen in service.

Cause: 0 in a vote means "not measured", and the mean for which a step waits took it for a response time of 0. A share under a hundredth was cut to 0 in the vote.

Change: the mean is over the votes that have measured; a measured share is stated as a hundredth at least. Where nobody has measured, the step follows as before: a zone without answers has no load that the step could add to.

Tests, which failed before: TestReturnWaitsWhileTheGatewaysThatMeasureAZoneFindItSlow, TestShortResponseTimeCountsAsMeasured.

--- a/internal/zonefailover/evidence.go
+++ b/internal/zonefailover/evidence.go
@@ -12,6 +12,7 @@
 	rateInterval           = 1_000_000 // microseconds; shortest time between two updates of the request rates
 	rateSmoothing          = 0.3       // weight of a new request rate in the moving average
 	maxEncodedRate         = 65535     // highest request rate that a vote can state
+	minEncodedLatency      = 1         // lowest latency share that a vote can state; 0 means that it was not measured
 	maxEncodedLatency      = 255       // highest latency share that a vote can state
 	rateUnitsPerRequest    = 10        // a vote's request rate is in tenths of a request per second
 )
@@ -133,7 +134,8 @@
 		view := ZoneView{Health: c.health(zones, i, ownZone)}
 		view.RequestRate = uint16(min(c.requestRate[i]*rateUnitsPerRequest, maxEncodedRate))
 		if zone.measured > 0 {
-			view.LatencyShare = byte(min(latencyUnits*zone.latencyShare/float64(zone.measured), maxEncodedLatency))
+			share := latencyUnits * zone.latencyShare / float64(zone.measured)
+			view.LatencyShare = byte(min(max(share, minEncodedLatency), maxEncodedLatency))
 		}
 		views[i] = view
 	}
--- a/internal/zonefailover/evidence_test.go
+++ b/internal/zonefailover/evidence_test.go
@@ -87,3 +87,14 @@
 		}
 	}
 }
+
+// A very short response time is measured all the same: a vote must not state it as 0, which means not measured.
+func TestShortResponseTimeCountsAsMeasured(t *testing.T) {
+	c := NewEvidenceCollector(EvidenceConfig{Zones: 2, MinHosts: 1, Window: 10e6, FailingShare: 0.5})
+	c.Observe(Observation{Host: "a", Zone: 0, At: 1, LatencyShare: 0.004})
+	c.Observe(Observation{Host: "b", Zone: 1, At: 1, HealthCheck: true})
+	views := c.Assess(1, -1)
+	if views[0].LatencyShare != 1 || views[1].LatencyShare != 0 {
+		t.Errorf("latency shares %d and %d, want 1 and 0", views[0].LatencyShare, views[1].LatencyShare)
+	}
+}
--- a/internal/zonefailover/recovery_test.go
+++ b/internal/zonefailover/recovery_test.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"testing"
+
+	"cloverrock/internal/agreement"
 )
 
 // A failing zone is evacuated by all gateways at nearly the same time. It recovers in steps that also take effect at the
@@ -76,3 +78,28 @@
 	sim.run(40 * second)
 	sim.requireShare("after the recovery", FullShare)
 }
+
+// Gateways that have seen only health checks of a zone know nothing of its response time. They counted as if it were 0,
+// so that a zone that was too slow for its load got more of it.
+func TestReturnWaitsWhileTheGatewaysThatMeasureAZoneFindItSlow(t *testing.T) {
+	const otherZone = 1
+	vote := func(latencyShare byte) agreement.Vote {
+		return agreement.Vote{Body: encodeVote(otherZone, []ZoneView{{Health: Healthy, LatencyShare: latencyShare}})}
+	}
+	state := &State{conf: testConfig()}
+	for _, c := range []struct {
+		name       string
+		votes      []agreement.Vote
+		mayRecover bool
+	}{
+		{"slow for one, not measured by others", []agreement.Vote{vote(90), vote(0), vote(0), vote(0)}, false},
+		{"fast for one, not measured by others", []agreement.Vote{vote(20), vote(0), vote(0), vote(0)}, true},
+		{"slow for one, fast for others", []agreement.Vote{vote(90), vote(20), vote(20), vote(20)}, true},
+		{"not measured", []agreement.Vote{vote(0), vote(0)}, true},
+	} {
+		count := countVotes(c.votes, 0)
+		if got := state.mayRecover(state.conf.StepDuration, &zone{share: FullShare / 2}, &count); got != c.mayRecover {
+			t.Errorf("%s: the next step is due: %v, want %v", c.name, got, c.mayRecover)
+		}
+	}
+}
--- a/internal/zonefailover/vote.go
+++ b/internal/zonefailover/vote.go
@@ -15,7 +15,7 @@
 // ZoneView is one gateway's view of one zone.
 type ZoneView struct {
 	Health       Health
-	LatencyShare byte   // mean response time in hundredths of the latency objective, at most 255
+	LatencyShare byte   // mean response time in hundredths of the latency objective, at most 255; 0: not measured
 	RequestRate  uint16 // recent requests to the zone, in tenths per second
 }
 
@@ -73,7 +73,8 @@
 // VoteCount counts the votes of the gateways outside a zone on that zone, by the health that they state.
 type VoteCount struct {
 	Healthy, Unhealthy, Unknown int
-	latencyShare                float64 // mean of the votes that find the zone healthy, as a share of the latency objective
+	measured                    int     // votes of those that find the zone healthy and have measured its response time
+	latencyShare                float64 // mean of these votes, as a share of the latency objective; 0 if there are none
 }
 
 // viewCount returns how many of the gateways have a view of the zone's health.
@@ -90,16 +91,17 @@
 		switch view.Health {
 		case Healthy:
 			count.Healthy++
-			count.latencyShare += float64(view.LatencyShare) / latencyUnits
+			if view.LatencyShare > 0 {
+				count.measured++
+				count.latencyShare += float64(view.LatencyShare) / latencyUnits
+			}
 		case Unhealthy:
 			count.Unhealthy++
 		case Unknown:
 			count.Unknown++
 		}
 	}
-	if count.Healthy > 0 {
-		count.latencyShare /= float64(count.Healthy)
-	}
+	count.latencyShare /= float64(max(count.measured, 1))
 	return count
 }
 
--- a/internal/zonefailover/zonefailover.go
+++ b/internal/zonefailover/zonefailover.go
@@ -261,7 +261,7 @@
 }
 
 // mayRecover reports whether a healthy zone that is not in full use may take the next recovery step. The next step waits
-// while response times are too long.
+// while response times are too long. If no gateway has measured any, the zone has no load that a step could add to.
 func (s *State) mayRecover(now int64, z *zone, votes *VoteCount) bool {
 	if z.share == 0 {
 		return now-z.since >= z.evacuationTime
