simprotocol: a word that the settings do not have is taken for the strictest one

Callers would see, in the simulator alone: with words of a later version, a write that runs twice or a read from data of any age. Found by reading for the class of "a write of unknown position".

Cause: an unknown word became the zero value, which is the least strict: a request that may be repeated freely, a read of any age.

Change: each enumeration names its value for unknown words: not to be repeated, as fresh as it gets, the smallest scope, a list that has to be subscribed to. Absent keys keep their values.

Test: TestUnknownWordsAreTakenForTheStrictest failed before. TestStartOptionsAreDecodedAsBefore had "any" for reads of any age, which is no word of the protocol and passed as an unknown one; it has the protocol's "loose" now, with the same value expected.

--- a/internal/simprotocol/golden_test.go
+++ b/internal/simprotocol/golden_test.go
@@ -89,7 +89,7 @@
 	line := `start who=1 entropy=18446744073709551615 options={"zone":1,"zones":["a","b"],"hostTypes":["x"],"tickMs":5,"discovery":"subscribe",` +
 		`"classes":[{"name":"n","aimMs":1,"deadlineMs":2,"windowMs":3,"worth":4,"lateWorth":0.5,"aimStretch":6,"repeat":"idempotency_key","group":"cell"},` +
 		`{"repeat":"non_idempotent","group":"zone"},{},{},{}],"balancers":3,"ordinal":2,"costs":{"crossZone":7,"peer":8},` +
-		`"extra":{"baseTimeMs":9,"classRead":["recent","own_writes","latest","update","any"],"stalenessBoundMs":[10],"serverChecks":"reject","tokens":"client"},` +
+		`"extra":{"baseTimeMs":9,"classRead":["recent","own_writes","latest","update","loose"],"stalenessBoundMs":[10],"serverChecks":"reject","tokens":"client"},` +
 		`"limits":{"cancel":true,"probes":true,"mayTell":true,"dialTimeoutMs":11,"maxRetryAfterMs":12,"idleCloseMs":13,"maxAttempts":14},` +
 		`"obligations":{"coldFrom":15,"coldMs":16,"fallMultiple":17,"overloadForMs":18,"drainBindsAlone":true}}`
 	want := balance.Settings{Zone: 1, TickInterval: 5000, MustSubscribe: true, HealthChecks: true, Cancellation: true, MaxRetryAfter: 12_000, MaxAttempts: 14, DialTimeout: 11_000,
--- a/internal/simprotocol/options.go
+++ b/internal/simprotocol/options.go
@@ -76,27 +76,35 @@
 }
 
 // enum maps the texts that are valid for a key to their values. Errors list the texts in the same order.
-type enum[T any] []struct {
+type enum[T any] struct {
+	entries []enumEntry[T]
+	unknown T // value of any other text: the strictest one, since a later simulator may use other texts
+}
+
+type enumEntry[T any] struct {
 	text  string
 	value T
 }
 
-// value returns the value of a text. An unknown text is converted to the zero value, since a later simulator may use
-// texts that this version does not have.
-func (e enum[T]) value(text string) T {
-	for _, entry := range e {
+// value returns the value of a text. An absent key that has no value of its own has the zero value: the simulator omits
+// what a kind of service does not have.
+func (e *enum[T]) value(text string) T {
+	for _, entry := range e.entries {
 		if entry.text == text {
 			return entry.value
 		}
 	}
-	var zero T
-	return zero
+	if text == "" {
+		var zero T
+		return zero
+	}
+	return e.unknown
 }
 
 // check returns an *OptionError if the enum does not have the text of a key.
-func (e enum[T]) check(key, text string) error {
+func (e *enum[T]) check(key, text string) error {
 	var valid []string
-	for _, entry := range e {
+	for _, entry := range e.entries {
 		if entry.text == text {
 			return nil
 		}
@@ -109,26 +117,44 @@
 
 // The values of each enumerated key.
 var (
-	subscriptions = enum[bool]{{"", false}, {"automatic", false}, {"subscribe", true}}
-	hostChecks    = enum[bool]{{"", false}, {"none", false}, {"reject", true}, {"hold", true}}
-	clientTokens  = enum[bool]{{"", false}, {"client", true}, {"router", false}}
+	subscriptions = enum[bool]{
+		entries: []enumEntry[bool]{{"", false}, {"automatic", false}, {"subscribe", true}},
+		unknown: true,
+	}
+	hostChecks = enum[bool]{
+		entries: []enumEntry[bool]{{"", false}, {"none", false}, {"reject", true}, {"hold", true}},
+		unknown: false,
+	}
+	clientTokens = enum[bool]{
+		entries: []enumEntry[bool]{{"", false}, {"client", true}, {"router", false}},
+		unknown: false,
+	}
 	retrySafeties = enum[balance.RetrySafety]{
-		{"read_like", balance.Idempotent},
-		{"idempotency_key", balance.IdempotencyKey},
-		{"non_idempotent", balance.NonIdempotent},
+		entries: []enumEntry[balance.RetrySafety]{
+			{"read_like", balance.Idempotent},
+			{"idempotency_key", balance.IdempotencyKey},
+			{"non_idempotent", balance.NonIdempotent},
+		},
+		unknown: balance.NonIdempotent,
 	}
 	scopes = enum[balance.DeduplicationScope]{
-		{"", balance.ScopeGlobal},
-		{"all", balance.ScopeGlobal},
-		{"cell", balance.ScopeGroup},
-		{"zone", balance.ScopeZone},
+		entries: []enumEntry[balance.DeduplicationScope]{
+			{"", balance.ScopeGlobal},
+			{"all", balance.ScopeGlobal},
+			{"cell", balance.ScopeGroup},
+			{"zone", balance.ScopeZone},
+		},
+		unknown: balance.ScopeZone, // a request never leaves its group, so this is the smallest scope
 	}
 	consistencies = enum[balance.Consistency]{
-		{"loose", balance.Eventual},
-		{"recent", balance.BoundedStaleness},
-		{"own_writes", balance.ReadYourWrites},
-		{"latest", balance.Linearizable},
-		{"update", balance.Write},
+		entries: []enumEntry[balance.Consistency]{
+			{"loose", balance.Eventual},
+			{"recent", balance.BoundedStaleness},
+			{"own_writes", balance.ReadYourWrites},
+			{"latest", balance.Linearizable},
+			{"update", balance.Write},
+		},
+		unknown: balance.Linearizable,
 	}
 )
 
@@ -143,9 +169,8 @@
 // Unwrap returns the cause.
 func (e *OptionError) Unwrap() error { return e.Err }
 
-// Validate checks the enumerated keys, and that each class with bounded staleness has a bound. Settings converts a
-// misspelled text to the zero value: a write that must not be executed twice would be retried, or a read would be
-// answered from data of any age. The error is an *OptionError.
+// Validate checks the enumerated keys, and that each class with bounded staleness has a bound. The error is an
+// *OptionError.
 func (o *Options) Validate() error {
 	if n := len(o.Extra.Consistency); n != len(o.Classes) {
 		err := fmt.Errorf("names %d classes, but settings.classes has %d", n, len(o.Classes))
@@ -208,8 +233,8 @@
 }
 
 // Settings converts the options to the settings of package balance. positionOrigin is the origin of log positions on
-// the simulator's clock, in microseconds. Unknown texts of enumerated keys are converted to the zero value; Validate
-// reports them.
+// the simulator's clock, in microseconds. Unknown texts of enumerated keys are converted to the strictest value;
+// Validate reports them.
 func (o *Options) Settings() (settings balance.Settings, positionOrigin int64) {
 	settings = balance.Settings{
 		Zone:                    o.Zone,
--- a/internal/simprotocol/start_test.go
+++ b/internal/simprotocol/start_test.go
@@ -35,3 +35,23 @@
 		t.Errorf("settings read as %+v\nwant %+v", settings, want)
 	}
 }
+
+// A word that this version does not have was taken for the least strict one: a write of such a class could run twice, and
+// a read could be answered from data of any age.
+func TestUnknownWordsAreTakenForTheStrictest(t *testing.T) {
+	line := `start who=1 entropy=5 options={"discovery": "polled", "classes": [{"repeat": "signed", "group": "rack"}],` +
+		` "extra": {"classRead": ["exact"], "serverChecks": "warn", "tokens": "signed"}}`
+	settings, _, _, err := ParseStart(ParseLine([]byte(line)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := balance.Settings{
+		MustSubscribe: true,
+		Classes: []balance.Class{{
+			RetrySafety: balance.NonIdempotent, DeduplicationScope: balance.ScopeZone, Consistency: balance.Linearizable,
+		}},
+	}
+	if !reflect.DeepEqual(settings, want) {
+		t.Errorf("settings read as %+v\nwant %+v", settings, want)
+	}
+}
