--- a/balance/admission.go
+++ b/balance/admission.go
@@ -109,7 +109,7 @@
 // adjustLimit adjusts a host's concurrency limit to the part of its latency objective that an answer took, at
 // this or another gateway. The limit is cut at most once per mean latency.
 func (r *Router) adjustLimit(host *hostState, share float64) {
-	host.latencyShare += latencyShareWeight * (min(share, 1) - host.latencyShare)
+	host.latencyShare += float64(latencyShareWeight * (min(share, 1) - host.latencyShare))
 	cutIsDue := r.now-host.limitCutAt > int64(host.latency.mean)
 	limitIsUsed := float64(len(host.inFlight)+1) >= host.concurrencyLimit
 	switch {
--- a/balance/average.go
+++ b/balance/average.go
@@ -44,5 +44,5 @@
 func (l *latencyEstimate) silenceTimeout(inFlight int) float64 {
 	mean := float64(l.mean)
 	divisor := float64(max(min(inFlight, maxSilenceDivisor), 1))
-	return max(mean, (mean+deviationFactor*float64(l.deviation))/divisor)
+	return max(mean, (mean+float64(deviationFactor*l.deviation))/divisor)
 }
--- a/balance/doc.go
+++ b/balance/doc.go
@@ -5,7 +5,9 @@
 //
 // The package does no I/O, starts no goroutine and reads no clock. The embedding program passes one [Event]
 // at a time to [Router.Handle], with the time of day, and carries out the [Action] values that come back. The
-// same settings, seed and events always give the same actions. The embedding program must
+// same settings, seed and events always give the same actions, on every kind of machine: a conversion rounds
+// each product before it enters a sum, because some compilers otherwise fuse the two. The embedding program
+// must
 //
 //   - call Handle with a [TimerEvent] at the time of each [TimerAction];
 //   - answer each [SendAction] with exactly one [OutcomeEvent], and each [HealthCheckAction] with a
--- a/balance/health.go
+++ b/balance/health.go
@@ -39,10 +39,10 @@
 }
 
 // countError counts an error in the error share.
-func (h *hostHealth) countError() { h.errorShare += ewmaWeight * (1 - h.errorShare) }
+func (h *hostHealth) countError() { h.errorShare += float64(ewmaWeight * (1 - h.errorShare)) }
 
 // countSuccess counts a successful answer in the error share.
-func (h *hostHealth) countSuccess() { h.errorShare -= ewmaWeight * h.errorShare }
+func (h *hostHealth) countSuccess() { h.errorShare -= float64(ewmaWeight * h.errorShare) }
 
 // isFailing reports whether the error share of the host is too high for reads.
 func (h *hostHealth) isFailing() bool { return h.errorShare > failingErrorShare }
--- a/balance/replicas.go
+++ b/balance/replicas.go
@@ -168,9 +168,9 @@
 	loadB, _ := r.gossip.Load(r.now, b.id)
 	difference := float64(len(b.inFlight)-len(a.inFlight)) + loadB - loadA
 	if b.connected && !a.connected { // the difference must outweigh the cost of a new connection
-		difference -= starting / 2
+		difference -= float64(starting / 2)
 	}
-	return difference+starting/2 > starting*r.rand.Fraction()
+	return difference+float64(starting/2) > starting*r.rand.Fraction()
 }
 
 // primaryOrWait returns the primary for a read that no replica can take now, or nil if the read is to wait. A
--- a/balance/traffic.go
+++ b/balance/traffic.go
@@ -32,9 +32,9 @@
 	stats := &r.traffic
 	stats.requestCount++
 	stats.meanCost.add(float64(stats.classCost[req.classIndex]), meanCostWeight)
-	stats.longReadShare *= 1 - slowEWMAWeight
+	stats.longReadShare = float64(stats.longReadShare * (1 - slowEWMAWeight))
 	if r.isLongRead(req) {
-		stats.longReadShare += slowEWMAWeight * r.costFactor(req)
+		stats.longReadShare += float64(slowEWMAWeight * r.costFactor(req))
 	}
 }
 
--- a/internal/random/random.go
+++ b/internal/random/random.go
@@ -15,8 +15,9 @@
 	return int64((z ^ z>>31) % uint64(max(n, 1)))
 }
 
-// Fraction returns a number in [0, 1), a multiple of 2^-30. It advances the source as often as one call of Below.
+// Fraction returns a number in [0, 1), a multiple of 2^-30. It advances the source as often as one call of Below. The
+// outer conversion keeps compilers from fusing the quotient with a sum of the caller.
 func (s *Source) Fraction() float64 {
 	const steps = 1 << 30
-	return float64(s.Below(steps)) / steps
+	return float64(float64(s.Below(steps)) / steps)
 }
--- a/internal/zonefailover/capacity.go
+++ b/internal/zonefailover/capacity.go
@@ -45,7 +45,7 @@
 		}
 		utilization := 1 - baseline/latencyShare
 		maxUtilization := 1 - baseline/s.conf.MaxLatencyShare
-		spareCapacity += requestRate * max(maxUtilization/utilization-1, 0)
+		spareCapacity += float64(requestRate * max(maxUtilization/utilization-1, 0))
 	}
 	fits := load == 0 || spareCapacity >= load
 	if fits || len(s.zones) < 2 || !s.isOtherZoneLoaded(i) {
--- a/internal/zonefailover/evidence.go
+++ b/internal/zonefailover/evidence.go
@@ -177,7 +177,7 @@
 		return
 	}
 	for i := range c.requestRate {
-		c.requestRate[i] += rateSmoothing * (c.requests[i]*1e6/float64(elapsed) - c.requestRate[i])
+		c.requestRate[i] += float64(rateSmoothing * (c.requests[i]*1e6/float64(elapsed) - c.requestRate[i]))
 		c.requests[i] = 0
 	}
 	c.ratesUpdatedAt = now
--- a/internal/zonefailover/vote.go
+++ b/internal/zonefailover/vote.go
@@ -68,7 +68,9 @@
 }
 
 // changedSignificantly reports whether two figures differ by more than a third plus changedMargin.
-func changedSignificantly(a, b float64) bool { return max(a, b) > changedRatio*min(a, b)+changedMargin }
+func changedSignificantly(a, b float64) bool {
+	return max(a, b) > float64(changedRatio*min(a, b))+changedMargin
+}
 
 // VoteCount counts the votes of the gateways outside a zone on that zone, by the health that they state.
 type VoteCount struct {
