--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"reflect"
-	"slices"
 	"testing"
 
 	"cloverrock/internal/random"
@@ -53,7 +52,8 @@
 	rig  *routerRig
 	seed uint64
 	rand random.Source
-	cuts random.Source // decides which answers lack the host's role and position
+	cuts random.Source // decides which answers and reports lack the host's role or position
+	pace random.Source // decides when hosts execute the attempts, which is when their answers are made
 	log  []Action
 
 	requests map[int64]*checkedRequest
@@ -64,6 +64,7 @@
 	applied    map[string]int64 // actual log positions, by host
 	known      map[string]int64 // by host: the highest position that the router can have received
 	wasPrimary map[string]bool  // by host: the router can have received that it was the primary
+	replicaAt  map[string]int64 // by host: when the latest answer that told that it is a replica was made
 	drainedAt  map[string]int64
 	commits    map[int64]int64 // position of the last commit, by session
 }
@@ -87,6 +88,14 @@
 	number  int
 	host    string
 	sentAt  int64
+
+	written bool // to its connection, or found not valid any more just before
+	valid   bool
+
+	// The state of the host when it executed the attempt.
+	executedAt int64
+	asPrimary  bool
+	position   int64
 }
 
 // checkedHosts are the ids of threeHosts.
@@ -101,11 +110,13 @@
 		seed:       seed,
 		rand:       random.Source(seed * 977),
 		cuts:       random.Source(seed * 983),
+		pace:       random.Source(seed * 991),
 		requests:   map[int64]*checkedRequest{},
 		primary:    "a",
 		applied:    map[string]int64{"a": testStart, "b": testStart, "c": testStart},
 		known:      map[string]int64{},
 		wasPrimary: map[string]bool{"a": true},
+		replicaAt:  map[string]int64{},
 		drainedAt:  map[string]int64{},
 		commits:    map[int64]int64{},
 	}
@@ -148,207 +159,6 @@
 	c.t.Fatalf("seed %d: "+format, append([]any{c.seed}, args...)...)
 }
 
-// step advances the clock and passes one random event.
-func (c *ruleChecker) step() {
-	c.rig.now += int64(c.draw(8)) * ms
-	c.replicate()
-	switch c.draw(8) {
-	case 0, 1, 2:
-		c.sendRequest()
-	case 3, 4:
-		c.endRandomAttempt()
-	case 5:
-		c.check(c.rig.handle(Event{Kind: TimerEvent}))
-		for len(c.checks) > 0 {
-			c.endHealthCheck()
-		}
-	case 6:
-		if c.draw(10) == 0 {
-			c.primary = checkedHosts[c.draw(len(checkedHosts))]
-		}
-	case 7:
-		if c.draw(60) == 0 {
-			c.drainOrReturn(checkedHosts[c.draw(len(checkedHosts))])
-		}
-	}
-	c.endOverdueAttempts()
-	c.checkFinalAnswers()
-}
-
-// replicate lets the replicas apply a part of the primary's log.
-func (c *ruleChecker) replicate() {
-	for _, host := range checkedHosts {
-		if host == c.primary {
-			c.applied[host] = c.rig.now
-		} else if c.draw(3) == 0 && c.rig.now-c.applied[host] > 50*ms {
-			c.applied[host] += (c.rig.now - c.applied[host]) / 2
-		}
-	}
-}
-
-func (c *ruleChecker) sendRequest() {
-	c.rig.lastRequest++
-	id := c.rig.lastRequest
-	session := id%7 + 1
-	index := c.draw(len(c.settings().Classes))
-	class := c.rig.class(index)
-	deadline := c.rig.now + class.Deadline
-	request := &checkedRequest{class: class, classIndex: index, deadline: deadline, session: session}
-	event := Event{
-		Kind:       RequestEvent,
-		Request:    id,
-		Class:      index,
-		SessionKey: session,
-		HasSession: true,
-		Deadline:   deadline,
-	}
-	if class.Consistency == ReadYourWrites && c.commits[session] > 0 {
-		request.minPosition = c.commits[session]
-		if c.settings().RequestsCarrySessionAge {
-			event.SessionWriteAge = max(1, c.rig.now-request.minPosition) // 0 means no write
-			request.minPosition = c.rig.now - event.SessionWriteAge
-		}
-	}
-	if class.Consistency == Linearizable {
-		request.minPosition = c.rig.now
-	}
-	c.requests[id] = request
-	c.check(c.rig.handle(event))
-}
-
-func (c *ruleChecker) endRandomAttempt() {
-	if len(c.inFlight) == 0 {
-		return
-	}
-	i := c.draw(len(c.inFlight))
-	results := []Result{
-		Succeeded, Succeeded, Succeeded, Failed, Overloaded, TimedOut, ConnectionRefused, ConnectionReset,
-		NotPrimary,
-	}
-	result := results[c.draw(len(results))]
-	isWrite := c.requests[c.inFlight[i].request].class.Consistency == Write
-	if isWrite && c.inFlight[i].host != c.primary && result == Succeeded {
-		result = NotPrimary
-	} else if !isWrite && result == NotPrimary {
-		result = Succeeded
-	}
-	if !c.write(c.inFlight[i]) {
-		result = NotSent
-	}
-	c.endAttempt(i, result)
-}
-
-// write writes an attempt whose connection is open now, unless the router has recalled it, and reports
-// whether it did.
-func (c *ruleChecker) write(attempt checkedAttempt) bool {
-	if !c.rig.router.AttemptStillValid(c.rig.now, attempt.request) {
-		return false
-	}
-	c.checkTarget(attempt.request, attempt.host)
-	return true
-}
-
-func (c *ruleChecker) endAttempt(i int, result Result) {
-	attempt := c.inFlight[i]
-	c.inFlight = slices.Delete(c.inFlight, i, i+1)
-	request := c.requests[attempt.request]
-	request.inFlight--
-	if !result.ProvesNotExecuted() {
-		if !request.mayHaveExecuted {
-			request.executedAt = attempt.sentAt
-		}
-		request.mayHaveExecuted = true
-	}
-	event := Event{
-		Kind:    OutcomeEvent,
-		Request: attempt.request,
-		Attempt: attempt.number,
-		Host:    attempt.host,
-		Result:  result,
-		Latency: c.rig.now - attempt.sentAt,
-	}
-	if result.Answered() {
-		c.fillAnswer(&event, request)
-	}
-	if result == Succeeded || request.final {
-		request.final = true
-		event.Finished = true
-	}
-	c.check(c.rig.handle(event))
-}
-
-// fillAnswer sets the role and position of the host in its answer, and records that the router received them.
-// One answer in statusCutShare is cut off before both; a write that it answers has succeeded all the same.
-func (c *ruleChecker) fillAnswer(event *Event, request *checkedRequest) {
-	const statusCutShare = 6
-	if event.Result == Succeeded && request.class.Consistency == Write {
-		c.commits[request.session] = c.rig.now
-	}
-	if c.cuts.Below(statusCutShare) == 0 {
-		return
-	}
-	event.Role = Replica
-	if event.Host == c.primary {
-		event.Role = Primary
-	}
-	if c.seed%2 == 0 && event.Role == Replica { // answers carry positions
-		event.Position = c.applied[event.Host]
-	}
-	if event.Result == Succeeded && request.class.Consistency == Write {
-		event.Position = c.rig.now
-	}
-	c.known[event.Host] = max(c.known[event.Host], event.Position)
-	if event.Role == Primary {
-		c.wasPrimary[event.Host] = true
-	} else {
-		delete(c.wasPrimary, event.Host)
-	}
-}
-
-func (c *ruleChecker) endHealthCheck() {
-	host := c.checks[0]
-	c.checks = c.checks[1:]
-	event := Event{Kind: HealthCheckEvent, Host: host, Result: TimedOut, Latency: 250 * ms}
-	if c.draw(4) > 0 {
-		c.known[host] = max(c.known[host], c.applied[host])
-		isPrimary := host == c.primary
-		if isPrimary {
-			c.wasPrimary[host] = true
-		}
-		event.Result = Succeeded
-		event.Latency = 2 * ms
-		event.Report = HostReport{
-			HasPosition: true, Position: c.applied[host], HasRole: true, Primary: isPrimary,
-		}
-	}
-	c.check(c.rig.handle(event))
-}
-
-func (c *ruleChecker) drainOrReturn(host string) {
-	state := Ready
-	if _, drained := c.drainedAt[host]; drained {
-		delete(c.drainedAt, host)
-	} else {
-		c.drainedAt[host] = c.rig.now - 1
-		state = Draining
-	}
-	c.check(c.rig.list(Endpoint{Host: host, State: state, Weight: 1}))
-}
-
-// endOverdueAttempts ends the attempts in flight whose deadline has passed.
-func (c *ruleChecker) endOverdueAttempts() {
-	overdue := func(attempt checkedAttempt) bool {
-		return c.requests[attempt.request].deadline <= c.rig.now
-	}
-	for {
-		i := slices.IndexFunc(c.inFlight, overdue)
-		if i < 0 {
-			return
-		}
-		c.endAttempt(i, TimedOut)
-	}
-}
-
 // check checks the rules on the actions, and records the attempts and health checks that they start.
 func (c *ruleChecker) check(actions []Action) {
 	for i := range actions {
@@ -373,8 +183,12 @@
 		c.failf("two attempts in flight")
 	}
 	c.checkTarget(action.Request, action.Host)
-	attempt := checkedAttempt{action.Request, request.attempts, action.Host, c.rig.now}
-	c.inFlight = append(c.inFlight, attempt)
+	c.inFlight = append(c.inFlight, checkedAttempt{
+		request: action.Request,
+		number:  request.attempts,
+		host:    action.Host,
+		sentAt:  c.rig.now,
+	})
 	request.attempts++
 	request.inFlight++
 }
