backend, storecmd, app: an answer's role and position, and a command's status, in one place each

Change: reportedRole and reportedPosition name when their value is unknown; withStatus and connectAndExchange take the place of the repeated lines. Behaviour and checks stay.

--- a/internal/app/clients_test.go
+++ b/internal/app/clients_test.go
@@ -141,11 +141,7 @@
 // Connections that send nothing never displace a client that sends requests, however many there are.
 func TestSilentClientsDisplaceNoActiveOnes(t *testing.T) {
 	gw := startGateway(t, 0, func(c *config.Config) { c.Sockets = reservedDescriptors + 8 }) // 4 clients
-	var active []*pgClient
-	for id := range 2 {
-		active = append(active, gw.connect())
-		gw.exchange(active[id], id, "v")
-	}
+	active := gw.connectAndExchange(2)
 	silent := []*pgClient{gw.connect(), gw.connect()}
 	for range 10 {
 		silent = append(silent, gw.connect())
@@ -161,11 +157,7 @@
 // to send their first query.
 func TestIdleClientsMakeRoomForNewOnes(t *testing.T) {
 	gw := startGateway(t, 0, func(c *config.Config) { c.Sockets = reservedDescriptors + 8 }) // 4 clients
-	var idle []*pgClient
-	for id := range 4 {
-		idle = append(idle, gw.connect())
-		gw.exchange(idle[id], id, "v")
-	}
+	idle := gw.connectAndExchange(4)
 	slow := []*pgClient{gw.connect(), gw.connect()}
 	idle[0].want("closed")
 	idle[1].want("closed")
@@ -179,11 +171,7 @@
 // gateway can open only a limited number of connections.
 func TestIdleClientsAreLimitedToAQuarterOfTheDescriptors(t *testing.T) {
 	gw := startGateway(t, 0, func(c *config.Config) { c.Sockets = reservedDescriptors + 64 }) // 35 clients, 26 of them active
-	var idle []*pgClient
-	for id := range 27 {
-		idle = append(idle, gw.connect())
-		gw.exchange(idle[id], id, "v")
-	}
+	idle := gw.connectAndExchange(27)
 	idle[0].want("closed")
 	idle[1].query("")
 	idle[1].want("empty")
--- a/internal/app/harness_test.go
+++ b/internal/app/harness_test.go
@@ -229,3 +229,14 @@
 	gw.hosts[0].nextQuery().answer(value)
 	client.want("value " + value)
 }
+
+// connectAndExchange connects n clients, each of which sends one write with its index as the id and gets its answer.
+func (gw *harness) connectAndExchange(n int) (clients []*pgClient) {
+	gw.t.Helper()
+	for id := range n {
+		client := gw.connect()
+		gw.exchange(client, id, "v")
+		clients = append(clients, client)
+	}
+	return clients
+}
--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -31,6 +31,9 @@
 // whatever its real position.
 const maxPositionLead = 1e6
 
+// decimalsOfMicros is the scale at which a number of milliseconds is read as one of microseconds.
+const decimalsOfMicros = 3
+
 // authenticationOk is the body of an Authentication message that requires no password.
 const authenticationOk = "\x00\x00\x00\x00"
 
@@ -169,30 +172,44 @@
 // outcome returns the outcome of a complete answer.
 func (c *conn) outcome() gateway.Outcome {
 	a := &c.answer
-	outcome := gateway.Outcome{Result: c.answerResult()}
-	if outcome.Result == balance.Succeeded {
-		outcome.Value = a.raw
+	latest := c.pool.loop.Now() + maxPositionLead
+	outcome := gateway.Outcome{
+		Result:   c.answerResult(),
+		Role:     a.reportedRole(),
+		Position: c.reportedPosition(latest),
+		Report:   parseReport(a.report, latest),
+	}
+	if outcome.Result != balance.Succeeded {
+		return outcome
 	}
+	outcome.Value = a.raw
+	if c.attempt != nil && c.attempt.healthCheck {
+		outcome.Report = parseReport(string(a.value), latest)
+	}
+	return outcome
+}
+
+// reportedRole returns the role in an answer's status; balance.RoleUnknown if there is none.
+func (a *answer) reportedRole() balance.Role {
 	switch a.role {
 	case rolePrimary:
-		outcome.Role = balance.Primary
+		return balance.Primary
 	case roleReplica:
-		outcome.Role = balance.Replica
+		return balance.Replica
 	}
-	latest := c.pool.loop.Now() + maxPositionLead
-	// The position in a write's answer is that of its commit. It is rounded up, so that a host whose position is at
-	// least as high has certainly applied the commit.
-	isCommit := c.attempt != nil && c.attempt.Write && a.hostError == nil
-	position, err := pgwire.ParseDecimal(a.position, 3, isCommit)
-	if err == nil && position <= latest {
-		outcome.Position = position
-	}
-	report := a.report
-	if c.attempt != nil && c.attempt.healthCheck && outcome.Result == balance.Succeeded {
-		report = string(a.value)
-	}
-	outcome.Report = parseReport(report, latest)
-	return outcome
+	return balance.RoleUnknown
+}
+
+// reportedPosition returns the log position in an answer's status, in microseconds since 1970; 0 if there is none, if it
+// cannot be read, or if it is after latest. The position in a write's answer is that of its commit. It is rounded up, so
+// that a host whose position is at least as high has certainly applied the commit.
+func (c *conn) reportedPosition(latest int64) int64 {
+	isCommit := c.attempt != nil && c.attempt.Write && c.answer.hostError == nil
+	position, err := pgwire.ParseDecimal(c.answer.position, decimalsOfMicros, isCommit)
+	if err != nil || position > latest {
+		return 0
+	}
+	return position
 }
 
 // answerResult returns the result of a complete answer.
--- a/internal/storecmd/members.go
+++ b/internal/storecmd/members.go
@@ -26,11 +26,7 @@
 		Use:   "status",
 		Short: "Show an instance's state, and the document revisions that all instances run",
 		Args:  app.NoArgs,
-		RunE: o.withClient(func(ctx context.Context, s *session) error {
-			status, err := fetchStatus(ctx, s.client)
-			if err != nil {
-				return err
-			}
+		RunE: o.withStatus(func(ctx context.Context, s *session, status *node.Status) error {
 			running, err := fetchRunning(ctx, s.client)
 			if err != nil {
 				return err
@@ -47,6 +43,19 @@
 	}
 }
 
+// withStatus returns a command's function that connects to the store, reads the status of an instance and calls run.
+func (o *options) withStatus(
+	run func(ctx context.Context, s *session, status *node.Status) error,
+) func(*cobra.Command, []string) error {
+	return o.withClient(func(ctx context.Context, s *session) error {
+		status, err := fetchStatus(ctx, s.client)
+		if err != nil {
+			return err
+		}
+		return run(ctx, s, status)
+	})
+}
+
 // fetchRunning returns the reports of all instances. It skips reports that cannot be decoded.
 func fetchRunning(ctx context.Context, c *client.Client) ([]documents.Running, error) {
 	kvs, _, err := c.List(ctx, documents.StatusNS, "running/", -1, true)
@@ -109,11 +118,7 @@
 		Use:   "members",
 		Short: "List the instances",
 		Args:  app.NoArgs,
-		RunE: o.withClient(func(ctx context.Context, s *session) error {
-			status, err := fetchStatus(ctx, s.client)
-			if err != nil {
-				return err
-			}
+		RunE: o.withStatus(func(_ context.Context, s *session, status *node.Status) error {
 			members := listMembers(status)
 			return s.print(members, func(p *printer) {
 				for _, m := range members {
@@ -151,11 +156,7 @@
 		Use:   "remove NAME|ID",
 		Short: "Remove an instance permanently: its data directory cannot be used again",
 		Args:  exactArgs("NAME or ID"),
-		RunE: o.withClient(func(ctx context.Context, s *session) error {
-			status, err := fetchStatus(ctx, s.client)
-			if err != nil {
-				return err
-			}
+		RunE: o.withStatus(func(ctx context.Context, s *session, status *node.Status) error {
 			id := findMember(status, s.args[0])
 			if id == 0 {
 				return refused("no member has the name or id %q", s.args[0])
